Take the socket limit from the configuration where the system's leaves none

Checked: the processor is not it (1.1 s used in 25 s), nor the module: logged twice a second, its sum of limits is 17, health 0.9 and more, nothing waits, no server is ejected, and yet it holds one call at a time. The event loop's timers run on time.

At fault: Config.within took the lower of limits.sockets and "Max open files" of /proc/self/limits, here 64. Less the 64 kept back, Sockets had 0 left and fell to its least bound of 2, so a node had one client and one server at once. On this platform sockets are handed out by other means than files, and the system's figure says nothing about them.

Chosen: a figure that leaves no socket to serve with (under the least that the configuration itself is accepted with) is not taken for the sockets'. Dropping the reading altogether was ruled out: where it does count, it keeps the node from running dry. Should the low figure be meant after all, refusals are handled as they come, by pausing the listener and closing idle connections.

--- a/src/main/java/cedarrelay/node/Config.java
+++ b/src/main/java/cedarrelay/node/Config.java
@@ -28,6 +28,8 @@
         long connIdleUs, Settings settings, ServerList known) {
 
     private static final int DEFAULT_SOCKETS = 1_024;
+    /** Under this nothing is left for one client and one server. */
+    private static final int LEAST_SOCKETS = Sockets.RESERVE + 2;
     private static final String DISCOVERY = "LB_DISCOVERY";
     private static final String DEFAULT_IDLE_US = "15000000";
 
@@ -53,9 +55,14 @@
         return read(rest);
     }
 
-    /** The same with no more descriptors than the system gives. */
+    /**
+     * The same with no more descriptors than the system gives. A system's figure that leaves the node no
+     * socket to serve with bounds its files alone: where sockets are handed out by other means, the
+     * configuration tells how many. Should they run out all the same, each refusal is handled as it comes.
+     */
     Config within(int descriptors) {
-        return new Config(listen, discovery, seed, Math.min(sockets, descriptors), connIdleUs, settings,
+        return new Config(listen, discovery, seed,
+                descriptors < LEAST_SOCKETS ? sockets : Math.min(sockets, descriptors), connIdleUs, settings,
                 known);
     }
 
@@ -112,8 +119,8 @@
         JsonElement sockets = json.has("limits") ? object(json, "limits").get("sockets") : null;
         long value = sockets == null || !sockets.isJsonPrimitive() ? DEFAULT_SOCKETS
                 : whole(sockets.getAsString());
-        if (value < Sockets.RESERVE + 2) {
-            throw new IllegalArgumentException("limits.sockets is under " + (Sockets.RESERVE + 2));
+        if (value < LEAST_SOCKETS) {
+            throw new IllegalArgumentException("limits.sockets is under " + LEAST_SOCKETS);
         }
         return (int) Math.min(Integer.MAX_VALUE, value);
     }
--- a/src/test/java/cedarrelay/node/DescriptorsTest.java
+++ b/src/test/java/cedarrelay/node/DescriptorsTest.java
@@ -28,6 +28,15 @@
         assertEquals(Integer.MAX_VALUE, limit());
     }
 
+    @Test
+    void aLimitThatLeavesNoSocketIsNotTheSockets() throws Exception {
+        try (FakePeer discovery = new FakePeer(FakePeer.SILENT)) {
+            Config config = Config.parse(Fixture.config(discovery).toString(), Map.of());
+            assertEquals(config.sockets(), config.within(Sockets.RESERVE + 1).sockets());
+            assertEquals(Sockets.RESERVE + 2, config.within(Sockets.RESERVE + 2).sockets());
+        }
+    }
+
     @Test
     void theLowerLimitCounts() throws Exception {
         try (FakePeer discovery = new FakePeer(FakePeer.SILENT)) {
