Reckon a cold server's budget by nominal sizes, and spend 0.8 of it

Logged twice a second, 24 warm servers then bear most of the load (latency 240 -> 450 ms, the sum of limits reached) while slow start holds back 28 to 36 of the 36 cold ones.

Checked: limits of new servers are not what binds, nor ejection (none is out); the list's weights are live, 2.5 on the mean for a busy warm server and 8.2 for the same kind cold and empty, and come about once a second. So a cold server's part of the traffic was taken up to 3.3 times too large in its first second, and after that, with half of the multiple, the budget was left mostly unspent.

At fault: ServiceQBalancer.coldGap, which divided the weight of the moment by the sum of the weights of the moment, and took half of the multiple.

Chosen: the part goes by nominal size, the largest weight seen of each server, and 0.8 of the multiple is spent. A node that has just started has seen only loaded weights, so no part counts as more than twice the mean. Together all nodes now stay at 2.0 of the rule's 2.5 at full load, where they could pass it before: the new test counts 38 sends with the old lines, of 24 allowed.

--- a/src/main/java/cedarrelay/ServiceQBalancer.java
+++ b/src/main/java/cedarrelay/ServiceQBalancer.java
@@ -95,6 +95,10 @@
     private static final long MOST_EJECT_US = 4_000_000;
     /** Own requests in flight from which on a local server is compared with those of other zones. */
     private static final int SPILL_AT = 2;
+    /** Part of the budget for cold servers that is spent; the rest is for chance. */
+    private static final double COLD_SPEND = 0.8;
+    /** No server is taken to be larger than so many mean ones. */
+    private static final double MOST_PART = 2;
     /** Least time between two lines in the operators' log. */
     private static final long LOG_EVERY_US = 1_000_000;
     /** A tenant may use up this much of its share at once before it counts as beyond it. */
@@ -117,7 +121,7 @@
     private Pool nearby = everywhere;
     private boolean weightsStale;
     private double largestEffect = 1;
-    private double totalWeight;
+    private double totalNominal;
     private int ejectedServers;
     private long logFreeAt;
     private final Map<Long, Call> calls = new HashMap<>();
@@ -159,6 +163,8 @@
         /** Its size by the list, to the power {@link #SIZE_POWER}. */
         double size = 1;
         double weight = 1;
+        /** The largest weight seen: lists may lower a weight with what the server holds. */
+        double nominal;
         int errors;
         int inFlight;
         /** Share of its answers that failed, and not by being late or full. */
@@ -312,13 +318,14 @@
             server.zone = entry.zone();
             server.cell = entry.cell();
             server.weight = entry.weight() > 0 ? entry.weight() : 1;
+            server.nominal = Math.max(server.nominal, server.weight);
             server.size = Math.pow(server.weight, SIZE_POWER);
         }
         ready = listed.stream().filter(s -> s.state == ServerState.READY).toArray(Server[]::new);
-        totalWeight = 0;
+        totalNominal = 0;
         for (int i = 0; i < ready.length; i++) {
             ready[i].position = i;
-            totalWeight += ready[i].weight;
+            totalNominal += ready[i].nominal;
         }
         // Servers come and go for as long as a node runs: what is gone and holds nothing is forgotten.
         byId.values().removeIf(server -> server.state == ServerState.GONE && server.inFlight == 0);
@@ -1185,16 +1192,19 @@
     }
 
     /**
-     * Exception, slow start (rule 4): the unit is a cold server's part, by the list's sizes, of what this
-     * node gets answered (of what arrives clients' retries make too much in a jam), times the share of its
-     * capacity that it has at least. All nodes together may send so many units as the rule's multiple; each
-     * spends half of that, evenly spaced, the first after a random part of the space.
+     * Exception, slow start (rule 4): the unit is a cold server's part, by nominal sizes, of what this node
+     * gets answered (of what arrives clients' retries make too much in a jam), times the share of its
+     * capacity that it has at least. By the weights of the moment an empty server's part would be some times
+     * too large. All nodes together may send so many units as the rule's multiple; each spends
+     * {@link #COLD_SPEND} of that, evenly spaced, the first after a random part of the space.
      */
     private long coldGap(Server server) {
         double age = Math.max(0, now - server.startedAt) / (double) set.coldUs;
         double share = set.coldFrom + (1 - set.coldFrom) * Math.min(1, age);
         double gap = Math.max(servedGapUs, MEAN_GAIN * (now - lastServedAt));
-        double part = server.weight / Math.max(server.weight, totalWeight);
-        return (long) (server.coldPhase * gap / (part * share * Math.max(1, set.fallMultiple / 2)));
+        // A node that has just started has seen the weights of this moment only.
+        double part = Math.min(server.nominal / Math.max(server.nominal, totalNominal),
+                MOST_PART / Math.max(1, ready.length));
+        return (long) (server.coldPhase * gap / (part * share * Math.max(1, COLD_SPEND * set.fallMultiple)));
     }
 }
--- a/src/test/java/cedarrelay/ColdServerTest.java
+++ b/src/test/java/cedarrelay/ColdServerTest.java
@@ -43,6 +43,30 @@
         assertTrue(toCold >= 1 && toCold <= 16, "sent to the cold server in two seconds: " + toCold);
     }
 
+    /** Requests sent in two seconds to a cold server among four that weigh so much, of 100 answers a second. */
+    private static long sentToColdAmong(double weight) {
+        Node node = new Node().with(4);
+        node.list(ListKind.CHANGES, List.of("s0", "s1", "s2", "s3").stream()
+                .map(id -> new ServerEntry(id, 0, 0, ServerState.READY, weight, 0)).toList());
+        for (int i = 0; i < 400; i++) {
+            node.serve(Node.SAFE, Result.OK, 10_000);
+        }
+        node.list(ListKind.CHANGES, List.of(started("cold", node.now)));
+        for (int i = 0; i < 200; i++) {
+            node.serve(Node.SAFE, Result.OK, 10_000);
+        }
+        return node.sentTo("cold");
+    }
+
+    @Test
+    void aColdServersPartDoesNotGrowAsTheListLowersTheWeightsOfTheBusy() {
+        // Live weights: the busy ones weigh a tenth of their size, the cold one, still empty, all of its own.
+        long amongBusy = sentToColdAmong(0.1);
+        // A fifth of 100 a second, a fifth of which it can do at first, times two seconds and the rule's
+        // three: 24 and, as it warms, a little more would push it over.
+        assertTrue(amongBusy >= 10 && amongBusy <= 24, "sent in two seconds: " + amongBusy);
+    }
+
     @Test
     void aNodeThatHasJustStartedDoesNotFloodAColdServer() {
         Node node = new Node();
