--- a/src/main/java/cedarrelay/ServiceQBalancer.java
+++ b/src/main/java/cedarrelay/ServiceQBalancer.java
@@ -24,7 +24,7 @@
     /** How many times a drawn server that may not be sent to is drawn again before all are looked through. */
     private static final int REDRAWS = 3;
     /** Power of a server's size in its weight: a large one as busy as a small one still answers sooner. */
-    private static final double SIZE_POWER = 1.5;
+    static final double SIZE_POWER = 1.5;
     /** Share of a new answer in a server's pace. */
     private static final double PACE_GAIN = 0.3;
     /** A pace is forgotten in so many times the time in which a node asks each server once. */
@@ -152,55 +152,6 @@
     private long askListAt = Long.MAX_VALUE;
     private long listBackoffUs = LIST_BACKOFF_US;
 
-    /** A server as this node knows it. */
-    private static final class Server {
-        final String id;
-        int zone;
-        int cell;
-        ServerState state;
-        long startedAt;
-        int position;
-        /** Its size by the list, to the power {@link #SIZE_POWER}. */
-        double size = 1;
-        double weight = 1;
-        /** The largest weight seen: lists may lower a weight with what the server holds. */
-        double nominal;
-        int errors;
-        int inFlight;
-        /** Share of its answers that failed, and not by being late or full. */
-        double faults;
-        boolean asked;
-        final List<Call> askers = new ArrayList<>();
-        double pace = 1;
-        long paceAt;
-        double limit;
-        long limitCutAt;
-        long wantedAt;
-        int history;
-        boolean ejected;
-        boolean unreachable;
-        long trialAt;
-        long ejectedForUs;
-        int trialsWon;
-        long answeredAt;
-        long servedAt;
-        /** By class: failures in a row, when it last served it, and until when it gets no more of it. */
-        final int[] misses;
-        final long[] heardAt;
-        final long[] outUntil;
-        /** When it was last sent to while cold, or began, and what part of a gap must have passed since. */
-        long coldSentAt;
-        double coldPhase;
-
-        Server(String id, double limit, int classes) {
-            this.id = id;
-            this.limit = limit;
-            misses = new int[classes];
-            heardAt = new long[classes];
-            outUntil = new long[classes];
-        }
-    }
-
     /** Servers with their weights summed up to each. */
     private static final class Pool {
         final Server[] servers;
@@ -212,53 +163,6 @@
         }
     }
 
-    /** A request that is held, or whose attempts are still out. */
-    private static final class Call {
-        final Request request;
-        final RequestClass cls;
-        final long arrivedAt;
-        final long aimUs;
-        final long aimAt;
-        final long deadlineAt;
-        final Server[] servers;
-        final long[] sentAt;
-        final Result[] results;
-        double worth;
-        double value;
-        boolean late;
-        int attempts;
-        int outstanding;
-        boolean waiting;
-        boolean asking;
-        int asksOut;
-        long decideAt;
-        boolean streaming;
-        boolean ended;
-
-        Call(Request request, Settings set, long now, long elapsedUs) {
-            this.request = request;
-            cls = set.classes.get(request.classIndex());
-            long aim = Math.min(cls.deadlineUs(), cls.aimUs() + (long) (cls.aimStretch() * request.workUs()));
-            arrivedAt = now;
-            deadlineAt = now + Math.max(0, request.leftUs());
-            aimUs = aim;
-            aimAt = Math.min(deadlineAt, now + aim - elapsedUs - request.waitedUs());
-            servers = new Server[set.maxAttempts];
-            sentAt = new long[set.maxAttempts];
-            results = new Result[set.maxAttempts];
-        }
-
-        /** The earliest attempt not known never to have run, or -1: it binds repeats and refusals. */
-        int binding() {
-            for (int i = 0; i < attempts; i++) {
-                if (results[i] == null || !results[i].neverRan) {
-                    return i;
-                }
-            }
-            return -1;
-        }
-    }
-
     /**
      * A node that has just started and knows nothing.
      *
--- a/src/test/java/cedarrelay/ColdServerTest.java
+++ b/src/test/java/cedarrelay/ColdServerTest.java
@@ -43,7 +43,7 @@
         assertTrue(toCold >= 1 && toCold <= 16, "sent to the cold server in two seconds: " + toCold);
     }
 
-    /** Requests sent in two seconds to a cold server among four that weigh so much, of 100 answers a second. */
+    /** What a cold server among four of such a weight is sent in two seconds, of 100 answers a second. */
     private static long sentToColdAmong(double weight) {
         Node node = new Node().with(4);
         node.list(ListKind.CHANGES, List.of("s0", "s1", "s2", "s3").stream()
