Refuse at half of its time what no server has seen

At fault: ServiceQBalancer.serveWaiting, which gave up at the deadline alone.

Chosen: a request of which no attempt can have run is refused once half of its time has passed in the queue. It could hardly still be in time (what is left is under the aim less a usual latency), and its client may ask another node. What a server may have run waits on as before: only its own repeat can still answer it.

--- a/src/main/java/cedarrelay/Call.java
+++ b/src/main/java/cedarrelay/Call.java
@@ -13,6 +13,8 @@
     final long aimUs;
     final long aimAt;
     final long deadlineAt;
+    /** Half of its time: what no server has seen by then is better asked elsewhere. */
+    final long refuseAt;
     final Server[] servers;
     final long[] sentAt;
     final Result[] results;
@@ -34,6 +36,7 @@
         long aim = Math.min(cls.deadlineUs(), cls.aimUs() + (long) (cls.aimStretch() * request.workUs()));
         arrivedAt = now;
         deadlineAt = now + Math.max(0, request.leftUs());
+        refuseAt = now + (request.leftUs() - request.waitedUs()) / 2;
         aimUs = aim;
         aimAt = Math.min(deadlineAt, now + aim - elapsedUs - request.waitedUs());
         servers = new Server[set.maxAttempts];
--- a/src/main/java/cedarrelay/ServiceQBalancer.java
+++ b/src/main/java/cedarrelay/ServiceQBalancer.java
@@ -837,7 +837,7 @@
             boolean late = call.aimAt - now < Math.min(MOST_LATE_AT * (call.aimAt - call.arrivedAt),
                     TOO_LATE_AT * latencyUs[call.request.classIndex()]);
             if (call.deadlineAt - now <= sweepUs + set.tickUs || late && call.cls.lateWorth() == 0
-                    || !mayTryAgain(call)) {
+                    || call.binding() < 0 && now + sweepUs >= call.refuseAt || !mayTryAgain(call)) {
                 call.waiting = false;
                 giveUp(call);
                 continue;
--- a/src/test/java/cedarrelay/MechanismTest.java
+++ b/src/test/java/cedarrelay/MechanismTest.java
@@ -17,6 +17,8 @@
 
 import cedarrelay.Balancer.ListKind;
 import cedarrelay.Balancer.Result;
+import cedarrelay.Balancer.ServerEntry;
+import cedarrelay.Balancer.ServerState;
 import cedarrelay.Balancer.Settings;
 
 /** The ordinary path of DESIGN: weighted draws, own requests in flight, counting, pass-on, deferral. */
@@ -116,6 +118,28 @@
         assertFalse(node.failed.contains(id));
     }
 
+    @Test
+    void whatNoServerHasSeenByHalfOfItsTimeIsRefusedThen() {
+        Node node = new Node(Node.lateCounts(), 7);
+        long id = node.ask(Node.SAFE, 1_000_000);
+        node.advance(450_000);
+        assertEquals(List.of(), node.refused);
+        node.advance(50_000);
+        assertEquals(List.of(id), node.refused);
+    }
+
+    @Test
+    void whatAServerMayHaveRunWaitsOnPastHalfOfItsTime() {
+        Node node = new Node(Node.lateCounts(), 7).with(1);
+        long id = node.ask(Node.SAFE, 1_000_000);
+        node.list(ListKind.CHANGES, List.of(new ServerEntry("s0", 0, 0, ServerState.DRAINING, 1, 0)));
+        node.answer(id, Result.ERROR, 10_000);
+        node.advance(590_000);
+        assertEquals(List.of(), node.refused);
+        node.list(ListKind.CHANGES, List.of(Node.server("s1")));
+        assertEquals("s1", node.last(id).server());
+    }
+
     @Test
     void aClientsLaterTryThatComesAfterTheAimTakesNoServersTime() {
         // Guards i9ce813: in a jam most work was for tries whose request could earn nothing any more.
