Tell refused clients when to come back, by what waits at this node

Seen: no refusal of a node at this site carried Retry-After, though refusals are harmless to repeat and the users ask for the advice.

At fault: BootInfo took limits.maxRetryAfterUs for 0 unless limits.retryAfter is set. And the module's advice was the longest that clients heed, 0.75 s whatever the state of the node, which is more than most of them have left.

Chosen: with each refusal the time in which this node gets answered what waits and one more, by the mean gap between its answers (the one that slow start goes by), at most limits.maxRetryAfterUs. The flag is not read any more.

--- a/src/main/java/cedarrelay/Balancer.java
+++ b/src/main/java/cedarrelay/Balancer.java
@@ -246,7 +246,7 @@
         public boolean probes;
         /** Whether clients mark their repeats, so that what is not marked is a first try. */
         public boolean marksRetry;
-        /** Longest advice to a client on when to come back; 0 means none may be given. */
+        /** Longest advice to a client on when to come back; 0 means none is given. */
         public long maxRetryAfterUs;
         /** Events come at most this often. */
         public long tickUs = 1_000;
--- a/src/main/java/cedarrelay/ServiceQBalancer.java
+++ b/src/main/java/cedarrelay/ServiceQBalancer.java
@@ -1023,13 +1023,23 @@
         };
         // A refusal calls back a client who would let a failure be; past the aim that is work for nothing.
         if (harmless && (clientRepeats(call.cls) || !isWorthless(call))) {
-            out.refuse(call.request.id(), set.maxRetryAfterUs);
+            out.refuse(call.request.id(), retryAfterUs());
         } else {
             out.fail(call.request.id());
         }
         end(call);
     }
 
+    /** When to come back: what waits here, and one more, will have been answered by then. */
+    private long retryAfterUs() {
+        return (long) Math.min(set.maxRetryAfterUs, (waiting.size() + 1) * answerGapUs());
+    }
+
+    /** Time between two answers to this node, longer as soon as none comes. */
+    private double answerGapUs() {
+        return Math.max(servedGapUs, MEAN_GAIN * (now - lastServedAt));
+    }
+
     private void end(Call call) {
         call.ended = true;
         call.waiting = false;
@@ -1105,10 +1115,10 @@
     private long coldGap(Server server) {
         double age = Math.max(0, now - server.startedAt) / (double) set.coldUs;
         double share = set.coldFrom + (1 - set.coldFrom) * Math.min(1, age);
-        double gap = Math.max(servedGapUs, MEAN_GAIN * (now - lastServedAt));
         // A node that has just started has seen the weights of this moment only.
         double part = Math.min(server.nominal / Math.max(server.nominal, totalNominal),
                 MOST_PART / Math.max(1, ready.length));
-        return (long) (server.coldPhase * gap / (part * share * Math.max(1, COLD_SPEND * set.fallMultiple)));
+        double units = Math.max(1, COLD_SPEND * set.fallMultiple);
+        return (long) (server.coldPhase * answerGapUs() / (part * share * units));
     }
 }
--- a/src/main/java/cedarrelay/benchlink/BootInfo.java
+++ b/src/main/java/cedarrelay/benchlink/BootInfo.java
@@ -53,7 +53,7 @@
         set.cancel = flag("limits.cancelling");
         set.probes = flag("limits.probes");
         set.marksRetry = flag("callers.marksRetry");
-        set.maxRetryAfterUs = flag("limits.retryAfter") ? whole("limits.maxRetryAfterUs", 0) : 0;
+        set.maxRetryAfterUs = whole("limits.maxRetryAfterUs", 0);
         set.tickUs = whole("quantumUs", set.tickUs);
         set.connectTimeoutUs = whole("limits.dialTimeoutUs", set.connectTimeoutUs);
         set.listOnRequest = "on_request".equals(values.get("membershipMode"));
--- a/src/test/java/cedarrelay/MechanismTest.java
+++ b/src/test/java/cedarrelay/MechanismTest.java
@@ -140,6 +140,29 @@
         assertEquals("s1", node.last(id).server());
     }
 
+    /** The advice that the first of so many waiting clients gets, of a node with 100 answers a second. */
+    private static long adviceTo(int clients) {
+        Settings set = Node.lateCounts();
+        set.maxRetryAfterUs = 700_000;
+        Node node = new Node(set, 7).with(1);
+        for (int i = 0; i < 200; i++) {
+            node.serve(Node.SAFE, Result.OK, 10_000);
+        }
+        node.list(ListKind.FULL, List.of());
+        for (int i = 0; i < clients; i++) {
+            node.ask(Node.SAFE, 100_000);
+        }
+        node.advance(60_000);
+        return node.advice.get(0);
+    }
+
+    @Test
+    void aRefusalTellsWhenToComeBackByWhatWaitsAndBySoMuchAtMost() {
+        assertEquals(20_000, adviceTo(1), 2_000);
+        assertEquals(110_000, adviceTo(10), 10_000);
+        assertEquals(700_000, adviceTo(100));
+    }
+
     @Test
     void aClientsLaterTryThatComesAfterTheAimTakesNoServersTime() {
         // Guards i9ce813: in a jam most work was for tries whose request could earn nothing any more.
--- a/src/test/java/cedarrelay/Node.java
+++ b/src/test/java/cedarrelay/Node.java
@@ -30,6 +30,8 @@
     final Settings settings;
     final List<Sent> sent = new ArrayList<>();
     final List<Long> refused = new ArrayList<>();
+    /** The advice given with each refusal. */
+    final List<Long> advice = new ArrayList<>();
     final List<Long> failed = new ArrayList<>();
     final List<String> cancelled = new ArrayList<>();
     final List<String> logged = new ArrayList<>();
@@ -178,6 +180,7 @@
     @Override
     public void refuse(long requestId, long retryAfterUs) {
         refused.add(requestId);
+        advice.add(retryAfterUs);
     }
 
     @Override
--- a/src/test/java/cedarrelay/benchlink/LinkTest.java
+++ b/src/test/java/cedarrelay/benchlink/LinkTest.java
@@ -54,6 +54,14 @@
         assertTrue(reply.contains("decline node=node-3 handle=b7c6f2075d3a91c4\n"), reply);
     }
 
+    @Test
+    void aRefusalBringsAdviceAlsoWhereTheSiteDoesNotPassItOn() throws Exception {
+        String boot = BOOT.replace("\n", " limits.retryAfter=false limits.maxRetryAfterUs=750000\n");
+        String reply = run(OPEN + boot + LIST + ITEM + "eob\nbegin_batch timeUs=1240000\nresolved node=node-3"
+                + " handle=b7c6f2075d3a91c4 latencyUs=240000 rc=40 seqNo=0 server=10.0.0.7:8003\neob\n");
+        assertTrue(reply.contains("decline node=node-3 handle=b7c6f2075d3a91c4 retryInUs=750000\n"), reply);
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {
         "begin_batch timeUs=1 | the input ends inside a batch",
