Let new servers begin at the mean limit of those in use

Checked: each replaced server takes its learnt limit with it and its successor begins with four over all nodes, 0.29 a node, and at one answer a second from each server it takes some 10 s to learn as much again.

At fault: ServiceQBalancer.onServers and restore, which gave FIRST_LIMIT to a new server whatever the node had learnt by then.

Chosen: the mean limit of the servers in use, at least FIRST_LIMIT. A node that has just started knows none and begins as before.

--- a/src/main/java/cedarrelay/ServiceQBalancer.java
+++ b/src/main/java/cedarrelay/ServiceQBalancer.java
@@ -201,7 +201,7 @@
         }
         for (ServerEntry entry : entries) {
             Server server = byId.computeIfAbsent(entry.id(),
-                    id -> new Server(id, FIRST_LIMIT / set.nodes, set.classes.size()));
+                    id -> new Server(id, firstLimit(), set.classes.size()));
             if (entry.state() == ServerState.GONE) {
                 listed.remove(server);
             } else if (!listed.contains(server)) {
@@ -574,7 +574,13 @@
         server.history = 0;
         server.ejected = false;
         server.trialsWon = 0;
-        server.limit = FIRST_LIMIT / set.nodes;
+        server.limit = firstLimit();
+    }
+
+    /** What servers in use hold on the mean, as learnt so far. */
+    private double firstLimit() {
+        int counted = ready.length - ejectedServers;
+        return counted > 0 ? Math.max(FIRST_LIMIT / set.nodes, limits / counted) : FIRST_LIMIT / set.nodes;
     }
 
     /** An ejected server that is due for a trial with this request, if it is repeatable, or null. */
--- a/src/test/java/cedarrelay/MechanismTest.java
+++ b/src/test/java/cedarrelay/MechanismTest.java
@@ -244,6 +244,27 @@
         assertTrue(fast.sent.size() - 60 >= 3, "sent " + fast.sent.size());
     }
 
+    @Test
+    void aServerThatReplacesOthersBeginsWithWhatTheyHaveLearnt() {
+        Node node = new Node(Node.lateCounts(), 7).with(1);
+        for (int round = 0; round < 20; round++) {
+            List<Long> ids = new ArrayList<>();
+            for (int i = 0; i < 20; i++) {
+                ids.add(node.ask(Node.SAFE));
+            }
+            for (long id : ids) {
+                node.answer(id, Result.OK, 100);
+            }
+        }
+        node.list(ListKind.CHANGES, List.of(new ServerEntry("s0", 0, 0, ServerState.GONE, 1, 0),
+                Node.server("new")));
+        for (int i = 0; i < 20; i++) {
+            node.ask(Node.SAFE);
+        }
+        // One that knows nothing of any server begins with four.
+        assertTrue(node.sentTo("new") >= 8, "sent at once: " + node.sentTo("new"));
+    }
+
     @Test
     void aTenantBeyondItsShareWaitsBehindOneInsideIt() {
         Settings set = Node.settings();
