--- a/src/main/java/cedarrelay/Call.java
+++ b/src/main/java/cedarrelay/Call.java
@@ -13,7 +13,7 @@
     final long aimUs;
     final long aimAt;
     final long deadlineAt;
-    /** Half of its time: what no server has seen by then is better asked elsewhere. */
+    /** Half of its time, when it is refused if no server has seen it. */
     final long refuseAt;
     final Server[] servers;
     final long[] sentAt;
--- a/src/main/java/cedarrelay/ServiceQBalancer.java
+++ b/src/main/java/cedarrelay/ServiceQBalancer.java
@@ -577,7 +577,7 @@
         server.limit = firstLimit();
     }
 
-    /** What servers in use hold on the mean, as learnt so far. */
+    /** What servers in use hold on the mean, as learnt so far: at few answers each it takes long to learn. */
     private double firstLimit() {
         int counted = ready.length - ejectedServers;
         return counted > 0 ? Math.max(FIRST_LIMIT / set.nodes, limits / counted) : FIRST_LIMIT / set.nodes;
@@ -827,7 +827,10 @@
         waiting.add(at, call);
     }
 
-    /** Sends what waits as far as servers allow and ends what has run out of time. */
+    /**
+     * Sends what waits as far as servers allow and ends what has run out of time. Exception, deferral: what
+     * no server has seen by half of its time is refused then, while its client may still ask elsewhere.
+     */
     private void serveWaiting() {
         if (waiting.isEmpty()) {
             return;
