Reject a list whose sizes are no finite numbers, and log under our own name

The message now counts as malformed: the watch is renewed and the old list stands, as for other malformed messages. The new case of DiscoveryTest fails without the check.

A node that can't start said "vetchpost: ..." on standard error, the name of another program; it is cedarrelay.

--- a/src/main/java/cedarrelay/node/Main.java
+++ b/src/main/java/cedarrelay/node/Main.java
@@ -86,7 +86,7 @@
     }
 
     private static void exit(String reason, int code) {
-        System.err.println("vetchpost: " + reason);
+        System.err.println("cedarrelay: " + reason);
         // No orderly stop: there is nothing to answer, and the hook would wait for it.
         Runtime.getRuntime().halt(code);
     }
--- a/src/main/java/cedarrelay/node/ServerList.java
+++ b/src/main/java/cedarrelay/node/ServerList.java
@@ -61,10 +61,18 @@
                     case "Terminating" -> ServerState.DRAINING;
                     case "Gone" -> ServerState.GONE;
                     default -> throw new IllegalArgumentException("unknown state " + state);
-                }, entry.has("capacity_hint") ? entry.get("capacity_hint").getAsDouble() : 1,
+                }, entry.has("capacity_hint") ? size(entry.get("capacity_hint").getAsDouble()) : 1,
                 entry.has("boot_ms") ? entry.get("boot_ms").getAsLong() : 0);
     }
 
+    /** JSON can write numbers that are beyond a double: all shares of the traffic would be 0 or none. */
+    private static double size(double value) {
+        if (!Double.isFinite(value)) {
+            throw new IllegalArgumentException("capacity_hint is not finite");
+        }
+        return value;
+    }
+
     private static JsonElement need(JsonObject object, String name) {
         JsonElement value = object.get(name);
         if (value == null) {
--- a/src/test/java/cedarrelay/node/DiscoveryTest.java
+++ b/src/test/java/cedarrelay/node/DiscoveryTest.java
@@ -92,6 +92,8 @@
     @ValueSource(strings = {"{'rev':42,", "[]", "{'rev':42,'all':false}",
         "{'rev':42,'all':false,'targets':[{'uid':'s','endpoint':'example:80','state':'Ready'}]}",
         "{'rev':42,'all':false,'targets':[{'uid':'s','endpoint':'127.0.0.1:80','state':'Odd'}]}",
+        "{'rev':1,'all':true,'targets':[{'uid':'s','endpoint':'127.0.0.1:1','state':'Ready',"
+            + "'capacity_hint':1e999}]}",
         "{'rev':'x','all':false,'targets':[]}", "{'rev':1,'all':true,'targets':[null]}"})
     void aMalformedMessageCostsTheWatchAndIsNotTaken(String message) throws Exception {
         peer.script((socket, request) -> {
