Send nothing by the known list before discovery has answered

What the agent on the machine has counts as told at once. Ruled out: late reading (the first answer is used in the turn it comes), the rehearsal's requests (they reach no server), connections still being dialled.

At fault: Node.start gave the module the known list before it asked for a newer one, and ServerList changes were applied after it had served what waited. Now the watch is opened first, and its first message is put together with the known list before the module gets either. Without a word of discovery the known list is used after 1.5 s, as long as a rehearsal may take. The node is ready once both are done. What comes meanwhile waits in the module.

Test: a node whose known server drains in discovery's first message; without the mend the request goes there and "/ready" says 200.

--- a/src/main/java/cedarrelay/node/Main.java
+++ b/src/main/java/cedarrelay/node/Main.java
@@ -22,6 +22,9 @@
 
     /** Enough for all classes to be loaded; more make the first answers quicker but the node come later. */
     private static final int REHEARSED = 100;
+    /** Discovery's agent on the same machine answers at once. One that is silent for as long as a rehearsal
+     * may take has lost touch: then a list that may be old is worth more than a node that stays away. */
+    private static final long START_MS = 1_500;
     private static final String EXAMPLE = """
             {"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1","limits":{"sockets":1024},
              "known":{"rev":1,"all":true,"targets":[{"uid":"s","endpoint":"127.0.0.1:1","az":"a",
@@ -61,7 +64,7 @@
             return null;
         }
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, loop), "stop"));
-        node.start(group, REHEARSED, () -> { }).addListener(done -> {
+        node.start(group, REHEARSED, START_MS, () -> { }).addListener(done -> {
             if (!done.isSuccess()) {
                 exit("can't listen: " + done.cause().getMessage(), 1);
             }
@@ -82,7 +85,7 @@
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         Hangup.handle(() -> { });
         Node node = new Node(Config.parse(EXAMPLE, Map.of()), group.next());
-        group.next().execute(() -> node.start(group, REHEARSED, group::shutdownGracefully));
+        group.next().execute(() -> node.start(group, REHEARSED, START_MS, group::shutdownGracefully));
     }
 
     private static void exit(String reason, int code) {
--- a/src/main/java/cedarrelay/node/Node.java
+++ b/src/main/java/cedarrelay/node/Node.java
@@ -69,6 +69,9 @@
     private final Deque<Event> events = new ArrayDeque<>();
     private boolean inCall;
     private boolean rehearsing;
+    private boolean rehearsalOver;
+    private boolean listInUse;
+    private Runnable sayReady;
     private ScheduledFuture<?> wake;
 
     /** A call of the module that is due, and the request that it touches, if any. */
@@ -168,10 +171,14 @@
     }
 
     /**
-     * Takes in the known list, opens the client side and serves; says that it is ready after a rehearsal
-     * of so many requests. To be called on the loop, as all else here.
+     * Asks for the list, opens the client side and serves; says that it is ready after a rehearsal of so many
+     * requests and once the list is in use: as soon as discovery has told what changed since the known one,
+     * or after {@code startMs} without a word of it.
      */
-    ChannelFuture start(EventLoopGroup group, int rehearsed, Runnable whenReady) {
+    ChannelFuture start(EventLoopGroup group, int rehearsed, long startMs, Runnable whenReady) {
+        discovery.subscribe();
+        loop.schedule(() -> begin(ListKind.CACHED, config.known()), startMs, TimeUnit.MILLISECONDS);
+        sayReady = whenReady;
         ChannelFuture binding = clients.listen(group, config.listen());
         binding.addListener(done -> {
             if (done.isSuccess()) {
@@ -179,22 +186,37 @@
                 // Error, in the loop, where nothing but the log would catch it.
                 LOG.log(Level.INFO, "listening on {0}", binding.channel().localAddress());
                 stall.watch();
-                takeList(ListKind.CACHED, config.known());
-                if (!config.settings().listOnRequest) {
-                    discovery.subscribe();
-                }
                 String token = Long.toHexString(new SplittableRandom(config.seed()).nextLong());
                 clients.setRehearsal(token);
                 new Rehearsal(loop, config, (InetSocketAddress) binding.channel().localAddress(), token,
                         rehearsed, REHEARSE_MS, () -> {
-                            clients.setReady();
-                            whenReady.run();
+                            rehearsalOver = true;
+                            checkReady();
                         }).run();
             }
         });
         return binding;
     }
 
+    /**
+     * Begins with a list. Not with the known one before discovery has answered, if it does: what its agent on
+     * this machine has counts as told from the start, and the known list may be older.
+     */
+    private void begin(ListKind kind, ServerList list) {
+        if (!listInUse) {
+            takeList(kind, list);
+            listInUse = true;
+            checkReady();
+        }
+    }
+
+    private void checkReady() {
+        if (rehearsalOver && listInUse) {
+            clients.setReady();
+            sayReady.run();
+        }
+    }
+
     /** Takes up what may change while it runs: where discovery is. */
     void reload(Config fresh) {
         discovery.moveTo(fresh.discovery());
@@ -412,7 +434,8 @@
 
     @Override
     public void subscribe() {
-        if (!rehearsing) {
+        // Given the known list, the module asks for a newer one: that was done at the start.
+        if (!rehearsing && listInUse) {
             discovery.subscribe();
         }
     }
@@ -426,7 +449,11 @@
 
     @Override
     public void onList(ServerList list) {
-        takeList(list.all() ? ListKind.FULL : ListKind.CHANGES, list);
+        if (listInUse) {
+            takeList(list.all() ? ListKind.FULL : ListKind.CHANGES, list);
+        } else {
+            begin(ListKind.FULL, config.known().with(list));
+        }
     }
 
     @Override
--- a/src/main/java/cedarrelay/node/ServerList.java
+++ b/src/main/java/cedarrelay/node/ServerList.java
@@ -2,7 +2,9 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 
 import cedarrelay.Balancer.ServerState;
 import com.google.gson.JsonElement;
@@ -51,6 +53,17 @@
         }
     }
 
+    /** This list, if it is a whole one, as the next message leaves it. */
+    ServerList with(ServerList next) {
+        Map<String, Target> byId = new LinkedHashMap<>();
+        if (!next.all) {
+            targets.forEach(target -> byId.put(target.id(), target));
+        }
+        next.targets.forEach(target -> byId.put(target.id(), target));
+        byId.values().removeIf(target -> target.state() == ServerState.GONE);
+        return new ServerList(next.revision, true, List.copyOf(byId.values()));
+    }
+
     private static Target target(JsonObject entry) {
         String state = need(entry, "state").getAsString();
         return new Target(need(entry, "uid").getAsString(), address(need(entry, "endpoint").getAsString()),
--- a/src/test/java/cedarrelay/node/NodeTest.java
+++ b/src/test/java/cedarrelay/node/NodeTest.java
@@ -57,12 +57,18 @@
     }
 
     private int start(JsonObject json) throws Exception {
+        CountDownLatch ready = new CountDownLatch(1);
+        int port = start(json, 0, ready);
+        assertTrue(ready.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS), "never ready");
+        return port;
+    }
+
+    private int start(JsonObject json, long startMs, CountDownLatch ready) throws Exception {
         EventLoop loop = group.next();
         Config config = Config.read(Map.of("LB_CONFIG", Fixture.write(json).toString()));
         Node node = loop.submit(() -> new Node(config, loop)).get();
-        CountDownLatch ready = new CountDownLatch(1);
-        Channel channel = loop.submit(() -> node.start(group, 8, ready::countDown)).get().sync().channel();
-        assertTrue(ready.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS), "never ready");
+        Channel channel = loop.submit(() -> node.start(group, 8, startMs, ready::countDown)).get().sync()
+                .channel();
         return ((InetSocketAddress) channel.localAddress()).getPort();
     }
 
@@ -455,4 +461,27 @@
             socket.close();
         }
     }
+
+    @Test
+    void nothingGoesByTheKnownListBeforeDiscoveryHasAnswered() throws Exception {
+        CountDownLatch ready = new CountDownLatch(1);
+        int port = start(Fixture.config(discovery, first), TimeUnit.SECONDS.toMillis(FakePeer.PATIENCE_S),
+                ready);
+        client = connect(port);
+        FakePeer.write(client, Fixture.request("POST", "/order", 1, "", "x"));
+        assertTrue(discovery.nextRequest().contains("&after=41 "));
+        Socket watch = FakePeer.soon(discovery.accepted);
+        try (Socket probe = connect(port)) {
+            FakePeer.write(probe, "GET /ready HTTP/1.1\r\n\r\n");
+            assertEquals(503, status(FakePeer.read(probe)), "ready with a list that may be old");
+        }
+        Fixture.beginWatch(watch);
+        Fixture.line(watch, Fixture.list(42, false, "Terminating", first));
+        Fixture.line(watch, Fixture.list(43, false, "Ready", second));
+        assertEquals(200, status(FakePeer.read(client)));
+        second.nextRequest();
+        assertTrue(first.requests.isEmpty(), "sent to a server that drained before the start");
+        assertTrue(ready.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS), "never ready");
+        assertTrue(discovery.requests.isEmpty(), "asked for the list twice");
+    }
 }
--- a/src/test/java/cedarrelay/node/StallTest.java
+++ b/src/test/java/cedarrelay/node/StallTest.java
@@ -59,7 +59,7 @@
                 Map.of("LB_CONFIG", Fixture.write(Fixture.config(discovery, server)).toString()));
         Node node = loop.submit(() -> new Node(config, loop)).get();
         CountDownLatch ready = new CountDownLatch(1);
-        Channel channel = loop.submit(() -> node.start(group, 8, ready::countDown)).get().sync().channel();
+        Channel channel = loop.submit(() -> node.start(group, 8, 0, ready::countDown)).get().sync().channel();
         assertTrue(ready.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS), "never ready");
         return ((InetSocketAddress) channel.localAddress()).getPort();
     }
