Count a client's time from when it connected, not from when it was accepted

At fault: Stall tells how long what is read now may have lain, back to the last beat that was due. A new connection waits a turn of the loop more, the one that accepts it: when that turn takes longer than a beat, as in code that is run first, a beat of its own makes the loop look as if it had kept up, and all the time in the system's queue is forgotten. Ruled out: the timer (21 ms late) and the answer's way, which the margin of 25 ms and the slack cover.

Now a connection remembers how far the loop was behind when it was accepted, and a request read at the first opportunity after that counts from then. The stall is taken when the request is read, not when its turn comes.

Test: a connection made during a stall of 500 ms, accepted in a turn with a beat of its own.

--- a/src/main/java/cedarrelay/node/ClientConnection.java
+++ b/src/main/java/cedarrelay/node/ClientConnection.java
@@ -59,6 +59,9 @@
     private final RequestDecoder decoder = new RequestDecoder();
     private final Deque<Ahead> ahead = new ArrayDeque<>();
     private final long openedNs = System.nanoTime();
+    /** When the client may have connected: one that is accepted late has sent its request long since. */
+    private final long connectedNs;
+    private final int openedBeat;
     private Exchange held;
     private long heldCost;
     private long partCost;
@@ -75,6 +78,8 @@
     private ClientConnection(ClientServer server, Channel channel) {
         this.server = server;
         this.channel = channel;
+        connectedNs = openedNs - stallNs();
+        openedBeat = server.stall().beats();
     }
 
     /** Sets up a client's connection. */
@@ -137,9 +142,23 @@
         }
     }
 
+    /**
+     * Since when the client's time has been running: a loop that was behind left what came unread, and on a
+     * new connection for a turn more, the one that accepted it.
+     */
+    private long arrivedNs() {
+        long arrivedNs = System.nanoTime() - stallNs();
+        return !asked && server.stall().beats() - openedBeat <= 1 ? Math.min(arrivedNs, connectedNs)
+                : arrivedNs;
+    }
+
+    private long stallNs() {
+        return TimeUnit.MICROSECONDS.toNanos(server.stall().us());
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
-        long now = System.nanoTime();
+        long arrivedNs = arrivedNs();
         server.inHand().remove(partCost);
         partCost = 0;
         if (deaf || !(message instanceof FullHttpRequest http)) {
@@ -160,7 +179,7 @@
             // node that is behind would else work mostly for clients that have left, and so stay behind.
             channel.eventLoop().execute(this::takeAhead);
         }
-        ahead.add(new Ahead(http, now, cost));
+        ahead.add(new Ahead(http, arrivedNs, cost));
         channel.config().setAutoRead(ahead.size() < MOST_AHEAD);
     }
 
--- a/src/main/java/cedarrelay/node/ClientServer.java
+++ b/src/main/java/cedarrelay/node/ClientServer.java
@@ -43,6 +43,7 @@
 
     private final EventLoop loop;
     private final Sockets sockets;
+    private final Stall stall;
     private final ClientRequest.Reader reader;
     private final Consumer<Exchange> taker;
     private final InHand inHand = InHand.partOfHeap();
@@ -57,9 +58,11 @@
     private boolean draining;
     private boolean closing;
 
-    ClientServer(EventLoop loop, Sockets sockets, ClientRequest.Reader reader, Consumer<Exchange> taker) {
+    ClientServer(EventLoop loop, Sockets sockets, Stall stall, ClientRequest.Reader reader,
+            Consumer<Exchange> taker) {
         this.loop = loop;
         this.sockets = sockets;
+        this.stall = stall;
         this.reader = reader;
         this.taker = taker;
         sockets.clientSide(this::closeOldestIdle, this::acceptAgain);
@@ -129,6 +132,10 @@
         return inHand;
     }
 
+    Stall stall() {
+        return stall;
+    }
+
     /** Whether connections end with their answers. */
     boolean endsConnections() {
         return draining || sockets.areClientsCrowded();
--- a/src/main/java/cedarrelay/node/Exchange.java
+++ b/src/main/java/cedarrelay/node/Exchange.java
@@ -29,7 +29,7 @@
         return request;
     }
 
-    /** When its last byte was read, by {@link System#nanoTime}. */
+    /** When it came, as far as this node can tell, by {@link System#nanoTime}. */
     long arrivedNs() {
         return arrivedNs;
     }
--- a/src/main/java/cedarrelay/node/Node.java
+++ b/src/main/java/cedarrelay/node/Node.java
@@ -165,7 +165,7 @@
         stall = new Stall(loop);
         sockets = new Sockets(config.sockets());
         pool = new ServerPool(loop, sockets, config.settings().connectTimeoutUs, config.connIdleUs());
-        clients = new ClientServer(loop, sockets, new ClientRequest.Reader(config.settings()), this::take);
+        clients = new ClientServer(loop, sockets, stall, new ClientRequest.Reader(config.settings()), this::take);
         discovery = new Discovery(loop, config.discovery(), config.known().revision(),
                 Discovery.SILENT_MS, this);
     }
@@ -313,8 +313,7 @@
             exchange.failed(HttpResponseStatus.CONFLICT, "a request of this id is in hand");
             return;
         }
-        // The client's time has been running while a loop that was behind left the request unread.
-        long arrivedUs = Math.min(us(exchange.arrivedNs()), nowUs() - stall.us());
+        long arrivedUs = us(exchange.arrivedNs());
         long leftUs = request.remainingUs();
         Held taken = new Held(exchange,
                 arrivedUs + leftUs - Math.min(ANSWER_MARGIN_US, leftUs / ANSWER_MARGIN_PART));
--- a/src/main/java/cedarrelay/node/Stall.java
+++ b/src/main/java/cedarrelay/node/Stall.java
@@ -18,6 +18,7 @@
     /** When the last beat that has run was due. */
     private long dueNs;
     private ScheduledFuture<?> beat;
+    private int beats;
 
     Stall(EventLoop loop) {
         this.loop = loop;
@@ -34,6 +35,11 @@
         }
     }
 
+    /** How many beats have run: a loop that is behind runs one in a turn, however long that takes. */
+    int beats() {
+        return beats;
+    }
+
     /**
      * How long what is read now may have waited for the loop, in microseconds; 0 on a loop that keeps up.
      * Counted from when the last beat was due and not from when it ran: what comes during a long turn of the
@@ -48,6 +54,7 @@
         long nextNs = System.nanoTime() + BEAT_NS;
         beat = loop.schedule(() -> {
             dueNs = nextNs;
+            beats++;
             schedule();
         }, BEAT_NS, TimeUnit.NANOSECONDS);
     }
--- a/src/test/java/cedarrelay/node/StallTest.java
+++ b/src/test/java/cedarrelay/node/StallTest.java
@@ -182,6 +182,32 @@
         assertTrue(left <= Fixture.REMAINING_MS - STALL_MS + SLACK_MS, "waits for " + left);
     }
 
+    @Test
+    void theClientsTimeRunsWhileItsConnectionIsNotAccepted() throws Exception {
+        int port = start();
+        CountDownLatch begun = new CountDownLatch(1);
+        CountDownLatch sent = new CountDownLatch(1);
+        loop.execute(() -> {
+            // In one turn, after this one: the stall, the beat, and then some more, so that the next beat runs
+            // in the turn that accepts and looks as if the loop kept up.
+            loop.schedule(() -> {
+                begun.countDown();
+                await(sent);
+                park(STALL_MS);
+            }, 0, TimeUnit.MILLISECONDS);
+            loop.schedule(() -> park(30), 12, TimeUnit.MILLISECONDS);
+            park(40);
+        });
+        await(begun);
+        try (Socket client = connect(port)) {
+            FakePeer.write(client, view(1));
+            sent.countDown();
+            FakePeer.read(client);
+        }
+        int left = Integer.parseInt(FakePeer.header(server.nextRequest(), "X-Remaining-Ms"));
+        assertTrue(left <= Fixture.REMAINING_MS - STALL_MS + SLACK_MS, "waits for " + left);
+    }
+
     @Test
     void aLoopThatWasHeldUpSaysForHowLong() throws Exception {
         Stall stall = new Stall(loop);
