--- a/src/main/java/cedarrelay/node/Node.java
+++ b/src/main/java/cedarrelay/node/Node.java
@@ -165,7 +165,8 @@
         stall = new Stall(loop);
         sockets = new Sockets(config.sockets());
         pool = new ServerPool(loop, sockets, config.settings().connectTimeoutUs, config.connIdleUs());
-        clients = new ClientServer(loop, sockets, stall, new ClientRequest.Reader(config.settings()), this::take);
+        clients = new ClientServer(loop, sockets, stall, new ClientRequest.Reader(config.settings()),
+                this::take);
         discovery = new Discovery(loop, config.discovery(), config.known().revision(),
                 Discovery.SILENT_MS, this);
     }
--- a/src/test/java/cedarrelay/node/StallTest.java
+++ b/src/test/java/cedarrelay/node/StallTest.java
@@ -188,8 +188,8 @@
         CountDownLatch begun = new CountDownLatch(1);
         CountDownLatch sent = new CountDownLatch(1);
         loop.execute(() -> {
-            // In one turn, after this one: the stall, the beat, and then some more, so that the next beat runs
-            // in the turn that accepts and looks as if the loop kept up.
+            // In one turn, after this one: the stall, the beat, and then some more, so that the next beat
+            // runs in the turn that accepts and looks as if the loop kept up.
             loop.schedule(() -> {
                 begun.countDown();
                 await(sent);
