Send single requests to a zone from which nothing comes

Ruled out: servers that are sent to again while silent (19), and new connections (633 that could not be made pass on).

At fault: maySend asks only what the server itself has failed; with some answers a second a node meets 45 servers of other zones before any is ejected.

Now the module keeps for each zone since when nothing has come of what was sent there. Past three usual latencies another zone gets a single request, the next after as long again, 4 s at most, until something comes. The own zone keeps its rules: it is where requests go without crossing.

Test: of two requests to a zone silent for four usual latencies one is sent, the other when an answer comes.

--- a/src/main/java/cedarrelay/ServiceQBalancer.java
+++ b/src/main/java/cedarrelay/ServiceQBalancer.java
@@ -43,6 +43,8 @@
     private static final double FAULT_PACE = 5;
     /** Paces that differ by less are alike: a server is tried again once its trouble is nearly forgotten. */
     private static final double PACE_ALIKE = 0.05;
+    /** A zone from which nothing comes for so many usual latencies is silent: one answer may be slow. */
+    private static final double SILENT_FOR = 3;
     /** Part of attempts answered in time under which a node throttles: less than in overload alone. */
     private static final double THROTTLE_BELOW = 0.3;
     /** A throttled node sends what is answered in time so many times over: enough to come back in seconds. */
@@ -140,6 +142,9 @@
     private final long[] usualLeftUs;
     private final double[] usualLeftShare;
     private final int[] asked;
+    /** By zone: since when nothing has come of what was sent there, or 0, and when it was sent to last. */
+    private final long[] unheardSince;
+    private final long[] lastSentAt;
     private int inFlight;
     private double limits;
     private double echoUs;
@@ -184,6 +189,8 @@
         usualLeftUs = new long[set.classes.size()];
         asked = new int[set.classes.size()];
         usualLeftShare = new double[set.classes.size()];
+        unheardSince = new long[set.zones.size()];
+        lastSentAt = new long[set.zones.size()];
         shareLeft = new double[set.tenants.size()];
         shareSeenAt = new long[set.tenants.size()];
     }
@@ -235,7 +242,7 @@
         byId.values().removeIf(server -> server.state == ServerState.GONE && server.inFlight == 0);
         everywhere = new Pool(ready);
         nearby = set.crossZonePrice == 0 ? everywhere
-                : new Pool(Arrays.stream(ready).filter(s -> s.zone == set.myZone).toArray(Server[]::new));
+                : new Pool(Arrays.stream(ready).filter(this::isLocal).toArray(Server[]::new));
         weightsStale = true;
         countReady();
         if (set.listOnRequest) {
@@ -351,6 +358,9 @@
         call.results[attempt] = result;
         call.outstanding--;
         server.inFlight--;
+        if (server.zone >= 0 && (result == Result.OK || result == Result.ERROR || result == Result.FULL)) {
+            unheardSince[server.zone] = 0;
+        }
         inFlight -= isCounted(server) ? 1 : 0;
         server.unreachable = result == Result.CONNECT_FAILED;
         if (result == Result.OK) {
@@ -805,7 +815,7 @@
             for (int i = 1; i <= ready.length; i++) {
                 Server next = ready[(failed.position + i) % ready.length];
                 // Exception: where crossing costs, own-zone servers that have not failed last come first.
-                boolean first = next.errors == 0 && (nearby == everywhere || next.zone == set.myZone);
+                boolean first = next.errors == 0 && (nearby == everywhere || isLocal(next));
                 if ((first || pass > 0) && !tried.contains(next) && maySend(call, next)) {
                     send(call, next);
                     return;
@@ -989,6 +999,10 @@
         call.sentAt[attempt] = now;
         call.outstanding++;
         server.inFlight++;
+        if (server.zone >= 0) {
+            lastSentAt[server.zone] = now;
+            unheardSince[server.zone] = unheardSince[server.zone] == 0 ? now : unheardSince[server.zone];
+        }
         inFlight += isCounted(server) ? 1 : 0;
         lastServedAt = lastServedAt == 0 ? now : lastServedAt;
         if (isCold(server)) {
@@ -1084,9 +1098,28 @@
     /** Rules 2 to 4 for one server: the keyed group, the list's word, and a cold server's budget. */
     private boolean maySend(Call call, Server server) {
         return !server.ejected && now >= server.outUntil[call.request.classIndex()]
+                && !isSilent(server, latencyUs[call.request.classIndex()])
                 && !hasJustTried(call, server) && !isCrowded(server) && isAllowed(call, server);
     }
 
+    /**
+     * Exception, silent zones: a zone cut off answers nothing, and each of its servers would cost each node a
+     * time-out. Once nothing has come from another zone for {@link #SILENT_FOR} usual latencies since it was
+     * sent to, it gets single requests, each after as long again, until something comes.
+     */
+    private boolean isSilent(Server server, double usualUs) {
+        if (server.zone < 0 || isLocal(server) || unheardSince[server.zone] == 0) {
+            return false;
+        }
+        long since = unheardSince[server.zone];
+        return now - since > SILENT_FOR * usualUs
+                && now - lastSentAt[server.zone] < Math.min(MOST_EJECT_US, lastSentAt[server.zone] - since);
+    }
+
+    private boolean isLocal(Server server) {
+        return server.zone == set.myZone;
+    }
+
     /** Whether the request failed there so quickly that it would only use up its attempts at once. */
     private boolean hasJustTried(Call call, Server server) {
         for (int i = 0; i < call.attempts; i++) {
--- a/src/test/java/cedarrelay/MechanismTest.java
+++ b/src/test/java/cedarrelay/MechanismTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -391,6 +392,30 @@
         return node.sent.size() - before;
     }
 
+    @Test
+    void aZoneFromWhichNothingComesGetsSingleRequestsUntilSomethingDoes() {
+        Node node = new Node(Node.settings(), 7);
+        List<ServerEntry> list = new ArrayList<>();
+        for (int i = 0; i < 10; i++) {
+            list.add(new ServerEntry("there" + i, 1, 0, ServerState.READY, 1, 0));
+        }
+        node.list(ListKind.CACHED, list);
+        for (int i = 0; i < 20; i++) {
+            node.serve(Node.SAFE, Result.OK, 10_000);
+        }
+        long silent = node.ask(Node.SAFE);
+        node.advance(20_000);
+        node.ask(Node.SAFE);
+        assertEquals(22, node.sent.size(), "two usual latencies tell nothing");
+        node.advance(20_000);
+        node.ask(Node.SAFE);
+        long held = node.ask(Node.SAFE);
+        assertEquals(23, node.sent.size(), "a single request, 20 ms after the last");
+        assertNull(node.last(held));
+        node.answer(silent, Result.OK, 5_000);
+        assertNotNull(node.last(held), "still held though the zone has answered");
+    }
+
     @Test
     void whereCrossingCostsAFailureIsPassedOnInsideTheZoneFirst() {
         // Guards i9ce813: a request turned away next door was passed to a server three times as far.
