Round the loop's waits up, so that it does not turn until a timer is due

Seen: README's open item, "the loop turns without waiting": on busy nodes whose requests wait, the event loop used three to four times the system time of others.

Checked: Netty 4.2.18's NioIoHandler rounds the time to the next timer to the nearest millisecond (millisBeforeDeadline adds 500,000 ns and divides). Woken up to 0.5 ms early, it finds nothing due, calls selectNow and comes back, until the timer is due. Ruled out: a wake-up asked for in the past (scheduleWake asks for now + 1 at least), readiness that nothing consumes (paused connections leave the selector).

Chosen: the handler is wrapped and told of a delay that is longer by just under half a millisecond, so that Netty's rounding becomes rounding up; timers run up to 1 ms late. The native transport has finer waits, but brings a library of its own.

Test: a turn of the loop with one timer 0.1 to 2.9 ms off and nothing else to do may not end before it is due; without the wrapper it fails: "turned 142113 ns before the timer 2 tenths off".

--- a/src/main/java/cedarrelay/node/Main.java
+++ b/src/main/java/cedarrelay/node/Main.java
@@ -9,7 +9,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 
 /** Starts one node, and ends it in order when told to. */
 public final class Main {
@@ -46,7 +45,7 @@
             rehearse();
             return;
         }
-        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, PunctualIo.newFactory());
         EventLoop loop = group.next();
         Map<String, String> environment = System.getenv();
         Node[] node = new Node[1];
@@ -82,7 +81,7 @@
     }
 
     private static void rehearse() {
-        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, PunctualIo.newFactory());
         Hangup.handle(() -> { });
         Node node = new Node(Config.parse(EXAMPLE, Map.of()), group.next());
         group.next().execute(() -> node.start(group, REHEARSED, START_MS, group::shutdownGracefully));
