Read lists that are indented, and have a watch that is silent or broken replaced in time

Chosen: messages are framed by their braces with Netty's JsonObjectDecoder, and parsed by Gson as before. The call must be begun within 0.4 s (the agent is on the same machine), pieces of a message come within 0.25 s, and two missed lines are silence: 4.5 s. Each of these looks at what the system holds first. The watch is asked for again after 50 ms, doubled to 200 ms by failures in a row: detection, pause and answer stay under 6 s, and under 0.5 s after a reset. A version that goes back costs the watch, and the whole list is asked for. A loop over 0.1 s behind reads the watch before the module is called.

--- a/src/main/java/cedarrelay/node/Discovery.java
+++ b/src/main/java/cedarrelay/node/Discovery.java
@@ -6,16 +6,16 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -25,16 +25,23 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.json.JsonObjectDecoder;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 
 /** The watch on the list of servers: one at a time, opened when asked for, reported once when it fails. */
 final class Discovery {
-    /** A line comes every 2 s, the first one within the call's own time limit: this is well past both. */
-    static final long SILENT_MS = 6_000;
+    /**
+     * Something comes every 2 s: twice missed is silence. What a silent watch misses counts as told after 6 s
+     * and {@code rules.drainGraceUs} more for the last send: another call has to be answered before.
+     */
+    static final long SILENT_MS = 4_500;
+    /** The agent is on this machine and begins its answer at once, or it is silent as a whole. */
+    private static final long BEGUN_MS = 400;
+    /** So long may the pieces of a message lie apart: one cut short is never finished. */
+    private static final long PIECE_MS = 250;
     /** No version is known, so that the whole list is wanted. */
     private static final long NONE = -1;
-    private static final int CONNECT_MS = 2_000;
     /** A line for each of some thousand servers; past it a message is malformed. */
     private static final int MAX_MESSAGE = 1 << 20;
     private static final int MAX_LINE = 4_096;
@@ -72,6 +79,13 @@
         watch.open();
     }
 
+    /** Asks again, if it is not done already. */
+    void keepSubscribed() {
+        if (watch == null) {
+            subscribe();
+        }
+    }
+
     /** Asks there from now on, at once. The versions of one address say nothing at another. */
     void moveTo(InetSocketAddress to) {
         if (!to.equals(address)) {
@@ -88,15 +102,36 @@
         }
     }
 
+    /**
+     * Takes in what the system holds of the watch already. For a loop that is behind: what it reads first may
+     * else be older than what the list says.
+     */
+    void catchUp() {
+        if (watch != null && watch.channel != null) {
+            watch.catchUp();
+        }
+    }
+
+    /** Messages by their braces: they may be indented over several lines, and come in any pieces. */
+    private static final class Framing extends JsonObjectDecoder {
+        Framing() {
+            super(MAX_MESSAGE);
+        }
+
+        boolean isMidMessage() {
+            return actualReadableBytes() > 0;
+        }
+    }
+
     /** One call and the answer that stays open. */
     private final class Watch extends ChannelInboundHandlerAdapter {
-        private final ByteBuf text = Unpooled.buffer();
+        private final Framing framing = new Framing();
         private Channel channel;
         private ScheduledFuture<?> silence;
         private boolean over;
 
         void open() {
-            silence = loop.schedule(() -> fail("silent"), silentMs, TimeUnit.MILLISECONDS);
+            expectWithin(Math.min(silentMs, BEGUN_MS));
             NioSocketChannel fresh;
             try {
                 fresh = new NioSocketChannel();
@@ -107,12 +142,11 @@
             }
             channel = fresh;
             new Bootstrap().group(loop).channelFactory(() -> fresh).disableResolver()
-                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                     .handler(new ChannelInitializer<SocketChannel>() {
                         @Override
                         protected void initChannel(SocketChannel to) {
                             to.pipeline().addLast(new HttpClientCodec(MAX_LINE, MAX_HEADERS, 8_192),
-                                    Watch.this);
+                                    Watch.this, framing, new Messages());
                         }
                     }).connect(address).addListener(done -> {
                         if (done.isSuccess()) {
@@ -152,59 +186,70 @@
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             try {
                 if (!over) {
-                    read(message);
+                    read(ctx, message);
                 }
-            } catch (IllegalArgumentException e) {
-                fail("malformed: " + e.getMessage());
             } finally {
                 ReferenceCountUtil.release(message);
             }
         }
 
-        private void read(Object message) {
+        private void read(ChannelHandlerContext ctx, Object message) {
             if (message instanceof HttpResponse head) {
                 if (head.decoderResult().isFailure() || !head.status().equals(HttpResponseStatus.OK)) {
                     fail("answered " + head.status());
                     return;
                 }
+                expectWithin(silentMs);
             }
             if (message instanceof HttpContent content) {
                 if (content.decoderResult().isFailure()) {
                     fail("malformed: " + content.decoderResult().cause());
                     return;
                 }
-                heard();
-                text.writeBytes(content.content());
-                lines();
+                if (content.content().isReadable()) {
+                    ctx.fireChannelRead(content.content().retain());
+                }
                 if (message instanceof LastHttpContent) {
                     fail("ended");
+                } else if (!over) {
+                    expectWithin(framing.isMidMessage() ? Math.min(silentMs, PIECE_MS) : silentMs);
                 }
             }
         }
 
-        private void heard() {
-            silence.cancel(false);
-            silence = loop.schedule(() -> fail("silent"), silentMs, TimeUnit.MILLISECONDS);
-        }
-
-        private void lines() {
-            int end = text.bytesBefore((byte) '\n');
-            while (end >= 0 && !over) {
-                String line = text.toString(text.readerIndex(), end, StandardCharsets.UTF_8);
-                text.skipBytes(end + 1);
-                if (!line.isBlank()) {
-                    ServerList list = ServerList.parse(line);
-                    revision = list.revision();
-                    listener.onList(list);
-                }
-                end = text.bytesBefore((byte) '\n');
+        private void expectWithin(long ms) {
+            if (silence != null) {
+                silence.cancel(false);
             }
-            text.discardSomeReadBytes();
-            if (text.readableBytes() > MAX_MESSAGE) {
-                throw new IllegalArgumentException("a line over " + MAX_MESSAGE + " bytes");
+            silence = loop.schedule(this::silent, ms, TimeUnit.MILLISECONDS);
+        }
+
+        /** A loop that is behind runs its timers first: what has come by now is no silence. */
+        private void silent() {
+            ScheduledFuture<?> due = silence;
+            catchUp();
+            if (silence == due) {
+                fail("silent");
+            }
+        }
+
+        private void catchUp() {
+            if (!over && channel != null && channel.isActive()) {
+                ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
             }
         }
 
+        /** The versions of an address only grow: one that goes back asks for the whole list as it is now. */
+        private void take(ServerList list) {
+            if (list.revision() < revision) {
+                revision = NONE;
+                fail("went back to version " + list.revision());
+                return;
+            }
+            revision = list.revision();
+            listener.onList(list);
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             fail("broken");
@@ -214,5 +259,29 @@
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             fail("broken: " + cause);
         }
+
+        /** The messages one by one. */
+        private final class Messages extends ChannelInboundHandlerAdapter {
+            @Override
+            public void channelRead(ChannelHandlerContext ctx, Object message) {
+                ByteBuf json = (ByteBuf) message;
+                try {
+                    if (!over) {
+                        take(ServerList.parse(json.toString(StandardCharsets.UTF_8)));
+                    }
+                } catch (IllegalArgumentException e) {
+                    fail("malformed: " + e.getMessage());
+                } finally {
+                    json.release();
+                }
+            }
+
+            @Override
+            public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                // The decoder's own words may hold all that came.
+                fail(cause instanceof DecoderException ? "malformed: " + cause.getClass().getSimpleName()
+                        : "broken: " + cause);
+            }
+        }
     }
 }
--- a/src/main/java/cedarrelay/node/Node.java
+++ b/src/main/java/cedarrelay/node/Node.java
@@ -44,8 +44,12 @@
     private static final long ANSWER_MARGIN_US = 25_000;
     private static final int ANSWER_MARGIN_PART = 8;
     private static final long PROBE_US = 250_000;
-    /** A pushed list costs nothing to ask for. */
-    private static final long WATCH_AGAIN_MS = 500;
+    /** A pushed list costs nothing to ask for, and what changes meanwhile counts as told. */
+    private static final long WATCH_AGAIN_MS = 50;
+    /** Doubled with each failure in a row: still well within the time that a drain leaves. */
+    private static final long MOST_WATCH_AGAIN_MS = 200;
+    /** From this on a loop is behind for long enough that a drain it has not read may be over. */
+    private static final long BEHIND_US = 100_000;
     /** Connections come for up to 0.4 s after the word to stop, and their requests just after. */
     private static final long ACCEPT_WHILE_STOPPING_MS = 600;
     private static final long DONE_CHECK_MS = 5;
@@ -71,6 +75,8 @@
     private boolean rehearsing;
     private boolean rehearsalOver;
     private boolean listInUse;
+    private boolean catchingUp;
+    private long watchAgainMs = WATCH_AGAIN_MS;
     private Runnable sayReady;
     private ScheduledFuture<?> wake;
 
@@ -279,6 +285,12 @@
      * only after the call that caused it.
      */
     private void enter(Held touches, Runnable call) {
+        if (!inCall && !catchingUp && stall.us() > BEHIND_US) {
+            // A change of the list may lie unread behind what is read first.
+            catchingUp = true;
+            discovery.catchUp();
+            catchingUp = false;
+        }
         events.add(new Event(touches, call));
         if (inCall) {
             return;
@@ -449,6 +461,7 @@
 
     @Override
     public void onList(ServerList list) {
+        watchAgainMs = WATCH_AGAIN_MS;
         if (listInUse) {
             takeList(list.all() ? ListKind.FULL : ListKind.CHANGES, list);
         } else {
@@ -461,7 +474,8 @@
         LOG.log(Level.INFO, "the watch on the list failed: {0}", reason);
         enter(null, () -> balancer.onListFailed(nowUs()));
         if (!config.settings().listOnRequest) {
-            loop.schedule(discovery::subscribe, WATCH_AGAIN_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(discovery::keepSubscribed, watchAgainMs, TimeUnit.MILLISECONDS);
+            watchAgainMs = Math.min(MOST_WATCH_AGAIN_MS, 2 * watchAgainMs);
         }
     }
 
--- a/src/test/java/cedarrelay/node/DiscoveryTest.java
+++ b/src/test/java/cedarrelay/node/DiscoveryTest.java
@@ -8,9 +8,13 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 
+import com.google.gson.GsonBuilder;
+import com.google.gson.JsonParser;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -25,6 +29,9 @@
 /** The watch: what it tells, and each way in which it fails, told once. */
 @Timeout(120)
 class DiscoveryTest implements Discovery.Listener {
+    /** Longer than a test waits. */
+    private static final int NEVER_MS = 600_000;
+
     private final BlockingQueue<ServerList> lists = new LinkedBlockingQueue<>();
     private final BlockingQueue<String> failures = new LinkedBlockingQueue<>();
     private EventLoopGroup group;
@@ -105,6 +112,97 @@
         assertTrue(lists.isEmpty());
     }
 
+    @Test
+    void aMessageIndentedOverSeveralLinesIsTaken() throws Exception {
+        String list = Fixture.list(42, false, "Ready", peer);
+        String indented = new GsonBuilder().setPrettyPrinting().create().toJson(JsonParser.parseString(list));
+        assertTrue(indented.lines().count() > 5, indented);
+        peer.script((socket, request) -> {
+            Fixture.beginWatch(socket);
+            Fixture.line(socket, indented.replace("Ready", "Terminating") + "\n\n" + indented);
+            for (String line : indented.split("\n")) {
+                Fixture.line(socket, line);
+            }
+        });
+        subscribe(20_000);
+        assertEquals(ServerList.parse(list.replace("Ready", "Terminating")), FakePeer.soon(lists));
+        assertEquals(ServerList.parse(list), FakePeer.soon(lists));
+        assertEquals(ServerList.parse(list), FakePeer.soon(lists));
+        assertTrue(failures.isEmpty(), failures::toString);
+    }
+
+    @Test
+    void aMessageCutShortIsNotWaitedFor() throws Exception {
+        peer.script((socket, request) -> {
+            Fixture.beginWatch(socket);
+            // In the middle of a line, without its end.
+            FakePeer.write(socket, "a\r\n{\"rev\":42,\r\n");
+        });
+        subscribe(NEVER_MS);
+        failsOnce();
+        assertTrue(lists.isEmpty());
+    }
+
+    @Test
+    void aCallThatIsNotAnsweredAtAllIsNotWaitedFor() throws Exception {
+        subscribe(NEVER_MS);
+        failsOnce();
+    }
+
+    @Test
+    void aVersionThatGoesBackIsNotTakenAndTheWholeListAskedFor() throws Exception {
+        String now = Fixture.list(50, true, "Ready", peer);
+        peer.script((socket, request) -> {
+            Fixture.beginWatch(socket);
+            Fixture.line(socket, now);
+            Fixture.line(socket, Fixture.list(49, false, "Terminating", peer));
+        });
+        Discovery discovery = subscribe(20_000);
+        assertEquals(ServerList.parse(now), FakePeer.soon(lists));
+        failsOnce();
+        peer.nextRequest();
+        // Without a version to go by, what comes is the list as it is now.
+        String restored = Fixture.list(7, true, "Ready", peer);
+        peer.script((socket, request) -> {
+            Fixture.beginWatch(socket);
+            Fixture.line(socket, restored);
+        });
+        group.next().submit(discovery::keepSubscribed).get();
+        assertTrue(peer.nextRequest().startsWith("GET /v1/endpoints?watch=1 "));
+        assertEquals(ServerList.parse(restored), FakePeer.soon(lists));
+    }
+
+    @Test
+    void whatHasComeBeforeALoopThatIsBehindLooksIsNoSilence() throws Exception {
+        Discovery discovery = subscribe(NEVER_MS);
+        Socket watch = FakePeer.soon(peer.accepted);
+        peer.nextRequest();
+        EventLoop loop = group.next();
+        CountDownLatch held = new CountDownLatch(1);
+        loop.execute(() -> {
+            // Due in one turn, in this order: the line comes, and then the time to be heard from is over.
+            loop.schedule(() -> {
+                Fixture.beginWatch(watch);
+                Fixture.line(watch, Fixture.list(42, true, "Ready", peer));
+                held.countDown();
+                return null;
+            }, 1, TimeUnit.MILLISECONDS);
+            park(1_000);
+        });
+        assertTrue(held.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS));
+        assertEquals(42, FakePeer.soon(lists).revision());
+        loop.submit(() -> { }).get();
+        assertTrue(failures.isEmpty(), failures::toString);
+        loop.submit(discovery::close).get();
+    }
+
+    private static void park(int ms) {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ms);
+        while (System.nanoTime() - end < 0) {
+            LockSupport.parkNanos(end - System.nanoTime());
+        }
+    }
+
     @Test
     void aBrokenWatchIsTold() throws Exception {
         peer.script((socket, request) -> {
