Look whether its client is still there before what has waited is sent on

Seen by reading: the node learnt of it only by channelInactive. takeAhead() and MOST_AHEAD stop the reading of a client that has sent ahead, so that its end lies unread for as long as its first request is held; and a loop that is behind may read a server's answer, and retry, before the end that lies beside it. Node.send and ServerPool.park asked nobody.

Chosen: for a request older than 50 ms, Node.send and Caller.isWanted read what the system holds of its client until nothing more comes, or the end; one read per such send. What has left is over at once, for its attempts too. Not chosen: no longer holding back a client's reading, which bounds what one client can have in hand.

Tests in StallTest, for a close and a reset each, seen to fail without: "sent on for nobody", with 2,000 requests ahead so that the node does not read, and with the loop held while a failure and then the client's end come.

--- a/src/main/java/cedarrelay/node/ClientConnection.java
+++ b/src/main/java/cedarrelay/node/ClientConnection.java
@@ -15,6 +15,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -49,6 +50,8 @@
     /** What is read and thrown away meanwhile: closed on unread bytes, the system would take the reason
      * back. */
     private static final int MOST_THROWN_AWAY = 256 * 1024;
+    /** Reads at once when it is asked whether the client is there: one that sends without end is. */
+    private static final int MOST_READS = 64;
     private static final String READY = "/ready";
 
     /** A request read while an earlier one on its connection still waits for its answer. */
@@ -70,6 +73,7 @@
     private int unwritten;
     private int bad;
     private int thrownAway;
+    private long received;
     private boolean asked;
     /** Nothing more is taken: what is held and waits is answered, then the connection closed. */
     private boolean deaf;
@@ -103,6 +107,21 @@
         channel.close();
     }
 
+    /**
+     * Whether its client is still there, as far as the system can tell: what has come of it is read first,
+     * also while it is not read otherwise or the loop is behind, for its end may lie at the end of that.
+     */
+    boolean isThere() {
+        if (channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
+            long before = -1;
+            for (int i = 0; i < MOST_READS && before != received && channel.isActive(); i++) {
+                before = received;
+                unsafe.read();
+            }
+        }
+        return channel.isActive();
+    }
+
     /** Closes the connection if its client has kept it waiting for too long. */
     void closeIfOverdue(long nowNs) {
         if (ending || unwritten > 0) {
@@ -332,11 +351,13 @@
     private final class Deafness extends ChannelInboundHandlerAdapter {
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
+            int more = message instanceof ByteBuf bytes ? bytes.readableBytes() : 0;
+            received += more;
             if (!deaf) {
                 ctx.fireChannelRead(message);
                 return;
             }
-            thrownAway += message instanceof ByteBuf bytes ? bytes.readableBytes() : 0;
+            thrownAway += more;
             ReferenceCountUtil.release(message);
             if (thrownAway > MOST_THROWN_AWAY) {
                 channel.config().setAutoRead(false);
--- a/src/main/java/cedarrelay/node/Exchange.java
+++ b/src/main/java/cedarrelay/node/Exchange.java
@@ -34,6 +34,11 @@
         return arrivedNs;
     }
 
+    /** Whether the client still waits for the answer, by what the system knows at this moment. */
+    boolean isAwaited() {
+        return !answered && connection.isThere();
+    }
+
     /** What to do if the client leaves before its answer. */
     void whenGone(Runnable action) {
         whenGone = action;
--- a/src/main/java/cedarrelay/node/Node.java
+++ b/src/main/java/cedarrelay/node/Node.java
@@ -43,6 +43,8 @@
      * less: the answer's way, timers, and a processor that is busy just after a start. */
     private static final long ANSWER_MARGIN_US = 25_000;
     private static final int ANSWER_MARGIN_PART = 8;
+    /** What has waited for so long is sent on only if its client is still there. */
+    private static final long WAITED_NS = TimeUnit.MILLISECONDS.toNanos(50);
     private static final long PROBE_US = 250_000;
     /** A pushed list costs nothing to ask for, and what changes meanwhile counts as told. */
     private static final long WATCH_AGAIN_MS = 50;
@@ -99,6 +101,15 @@
             this.deadlineUs = deadlineUs;
         }
 
+        /** Whether its client is still there: looked up for what has waited, since the loop may be behind. */
+        boolean isAwaited() {
+            if (!over && System.nanoTime() - exchange.arrivedNs() > WAITED_NS && !exchange.isAwaited()) {
+                // The connection itself tells of it only in a later task.
+                end();
+            }
+            return !over;
+        }
+
         /** Nothing is owed any more; what waits for a connection must not be sent. */
         void end() {
             over = true;
@@ -136,6 +147,11 @@
             this.untilUs = untilUs;
         }
 
+        @Override
+        public boolean isWanted() {
+            return request.isAwaited();
+        }
+
         @Override
         public FullHttpRequest message() {
             // Sent late for want of a connection: what the loop was behind by then is not the server's.
@@ -377,7 +393,7 @@
         Sent sent = new Sent(request, request.sent.size(), now, until);
         request.sent.add(sent);
         request.out++;
-        if (request.over || now >= until) {
+        if (now >= until || !request.isAwaited()) {
             sent.ended(Result.MOOT, null);
             return;
         }
--- a/src/test/java/cedarrelay/node/StallTest.java
+++ b/src/test/java/cedarrelay/node/StallTest.java
@@ -5,6 +5,7 @@
 
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -17,6 +18,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -26,6 +28,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** A node whose event loop is behind with its sockets. */
 @Timeout(120)
@@ -38,6 +42,7 @@
     private EventLoop loop;
     private FakePeer discovery;
     private FakePeer server;
+    private Node node;
 
     @BeforeEach
     void open() throws Exception {
@@ -54,10 +59,10 @@
         server.close();
     }
 
-    private int start() throws Exception {
-        Config config = Config.read(
-                Map.of("LB_CONFIG", Fixture.write(Fixture.config(discovery, server)).toString()));
-        Node node = loop.submit(() -> new Node(config, loop)).get();
+    private int start(FakePeer... servers) throws Exception {
+        Config config = Config.read(Map.of("LB_CONFIG", Fixture.write(
+                Fixture.config(discovery, servers.length == 0 ? new FakePeer[] {server} : servers)).toString()));
+        node = loop.submit(() -> new Node(config, loop)).get();
         CountDownLatch ready = new CountDownLatch(1);
         Channel channel = loop.submit(() -> node.start(group, 8, 0, ready::countDown)).get().sync().channel();
         assertTrue(ready.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS), "never ready");
@@ -168,6 +173,100 @@
         assertTrue(server.requests.isEmpty(), "sent on for nobody");
     }
 
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aRetryIsNotSentForAClientThatIsNotReadAndHasLeft(boolean reset) throws Exception {
+        // So many ahead that the node reads no more of it for now: its end lies behind them.
+        leavesWhileItsRequestIsTried("GET /ready HTTP/1.1\r\n\r\n".repeat(2_000), reset,
+                new CountDownLatch(0));
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aRetryIsNotSentForAClientThatLeftWhileTheLoopWasBusy(boolean reset) throws Exception {
+        leavesWhileItsRequestIsTried("", reset, new CountDownLatch(1));
+    }
+
+    /** The first attempt fails, and the client leaves, by a close or a reset; the loop is held for both. */
+    private void leavesWhileItsRequestIsTried(String ahead, boolean reset, CountDownLatch both)
+            throws Exception {
+        server.script(FakePeer.SILENT);
+        try (FakePeer other = new FakePeer(FakePeer.SILENT)) {
+            int port = start(server, other);
+            Socket client = connect(port);
+            FakePeer.write(client, view(1) + ahead);
+            while (server.accepted.isEmpty() && other.accepted.isEmpty()) {
+                park(1);
+            }
+            FakePeer failing = server.accepted.isEmpty() ? other : server;
+            FakePeer spared = failing == server ? other : server;
+            failing.nextRequest();
+            // A request that has only just come is not worth the look.
+            park(100);
+            if (both.getCount() > 0) {
+                stall(both, 0);
+            } else {
+                end(client, reset);
+            }
+            FakePeer.write(failing.accepted.remove(), "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
+            if (both.getCount() > 0) {
+                end(client, reset);
+                both.countDown();
+            }
+            server.script(FakePeer.answer("200 OK", "", "done"));
+            other.script(FakePeer.answer("200 OK", "", "done"));
+            // What is sent for another client comes later than a retry would.
+            try (Socket next = connect(port)) {
+                for (int i = 2; i < 12; i++) {
+                    FakePeer.write(next, view(i));
+                    assertTrue(FakePeer.read(next).startsWith("HTTP/1.1 200 "));
+                }
+            }
+            assertTrue(spared.requests.stream().noneMatch(r -> r.contains("X-Txn: 0000000000000001")),
+                    "sent on for nobody");
+        }
+    }
+
+    private static void end(Socket client, boolean reset) throws Exception {
+        client.setSoLinger(reset, 0);
+        client.close();
+    }
+
+    @Test
+    void aDrainThatLiesUnreadIsHeededBeforeTheNextSend() throws Exception {
+        try (FakePeer stays = new FakePeer(FakePeer.answer("200 OK", "", "done"))) {
+            int port = start(server, stays);
+            try (Socket client = connect(port)) {
+                // What goes to a connection that is open is sent at once.
+                for (int i = 100; server.requests.isEmpty() || stays.requests.isEmpty(); i++) {
+                    FakePeer.write(client, view(i));
+                    assertTrue(FakePeer.read(client).startsWith("HTTP/1.1 200 "));
+                }
+            }
+            server.requests.clear();
+            stays.requests.clear();
+            discovery.nextRequest();
+            Socket watch = FakePeer.soon(discovery.accepted);
+            Fixture.beginWatch(watch);
+            loop.submit(() -> {
+                park(STALL_MS);
+                Fixture.line(watch, Fixture.list(42, false, "Terminating", server));
+                // Requests that are taken before the loop comes to its sockets.
+                for (int i = 0; i < 20; i++) {
+                    EmbeddedChannel client = new EmbeddedChannel();
+                    node.openRehearsal(client.pipeline());
+                    client.pipeline().fireChannelActive();
+                    client.writeInbound(Unpooled.copiedBuffer(view(i), StandardCharsets.US_ASCII));
+                }
+                return null;
+            }).get();
+            for (int i = 0; i < 20; i++) {
+                stays.nextRequest();
+            }
+            assertTrue(server.requests.isEmpty(), "sent to a server that drains");
+        }
+    }
+
     @Test
     void theClientsTimeRunsWhileItsRequestLiesUnread() throws Exception {
         int port = start();
