Wait for the last answer when told to end, and take what the system has taken

Seen by reading, at 0.6 s after the word: stopAccepting() closed the listening socket, on which the system may have accepted more than the 32 of one turn (reset by that), and connections without a request read, though one may lie unread, or be about to come on a connection just accepted.

Chosen: the hook waits for the longest deadline of the settings and some slack; SIGKILL comes when it comes. What the system has accepted is accepted to the last, and a connection is closed only after 0.1 s of rest and a look at what it holds. Checked: an answer's "Connection: close" goes out with each answer from the word on, so the rest is short.

Tests, seen to fail without: MainTest, a request answered 5 s after SIGTERM ("gone with a request in hand"); StallTest, a kept connection and 100 new ones whose requests come in the turn in which the node stops taking any ("Connection reset" without the accepts, no answer without the look).

--- a/src/main/java/cedarrelay/node/ClientServer.java
+++ b/src/main/java/cedarrelay/node/ClientServer.java
@@ -19,6 +19,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -119,13 +120,32 @@
         draining = true;
     }
 
-    /** No new connections, and none is kept that owes no answer. */
+    /** No new connections but those that the system has taken already: it would reset them. */
     void stopAccepting() {
         closing = true;
+        int before;
+        do {
+            before = silent.size();
+            ((AbstractNioChannel.NioUnsafe) listening.unsafe()).read();
+        } while (silent.size() > before);
         listening.close();
+    }
+
+    /**
+     * Closes what owes no answer and has rested for a while, once nothing new is accepted; whether none is
+     * left. What the system holds unread is read first: that request is taken.
+     */
+    boolean closeResting() {
+        long beforeNs = System.nanoTime() - YOUNG_NS;
         for (Set<ClientConnection> some : List.of(silent, connections)) {
-            new ArrayList<>(some).stream().filter(ClientConnection::isIdle).forEach(ClientConnection::close);
+            for (ClientConnection connection : new ArrayList<>(some)) {
+                if (connection.isIdle() && connection.restingSinceNs() - beforeNs < 0
+                        && connection.isThere() && connection.isIdle()) {
+                    connection.close();
+                }
+            }
         }
+        return connections.isEmpty() && silent.isEmpty();
     }
 
     InHand inHand() {
@@ -183,11 +203,6 @@
         }
     }
 
-    /** Whether all that was taken has been answered and written. */
-    boolean isDone() {
-        return connections.isEmpty() && silent.isEmpty();
-    }
-
     /**
      * Those first that never asked: closing another can cross its next request. But none that has only just
      * come or been answered: the system may hold its request already, unread while others are accepted.
--- a/src/main/java/cedarrelay/node/Main.java
+++ b/src/main/java/cedarrelay/node/Main.java
@@ -16,9 +16,6 @@
 
     /** A bad configuration. */
     private static final int BAD_CONFIG = 2;
-    /** Past the longest wait for an answer: then there is nothing left worth waiting for. */
-    private static final long STOP_WITHIN_MS = 3_650;
-
     /** Enough for all classes to be loaded; more make the first answers quicker but the node come later. */
     private static final int REHEARSED = 100;
     /** Discovery's agent on the same machine answers at once. One that is silent for as long as a rehearsal
@@ -98,7 +95,7 @@
         CountDownLatch done = new CountDownLatch(1);
         loop.execute(() -> node.stop(done::countDown));
         try {
-            done.await(STOP_WITHIN_MS, TimeUnit.MILLISECONDS);
+            done.await(node.stopsWithinMs(), TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/main/java/cedarrelay/node/Node.java
+++ b/src/main/java/cedarrelay/node/Node.java
@@ -16,6 +16,7 @@
 import cedarrelay.Balancer.ListKind;
 import cedarrelay.Balancer.Outcome;
 import cedarrelay.Balancer.Request;
+import cedarrelay.Balancer.RequestClass;
 import cedarrelay.Balancer.Result;
 import cedarrelay.Balancer.ServerEntry;
 import cedarrelay.ServiceQBalancer;
@@ -54,7 +55,9 @@
     private static final long BEHIND_US = 100_000;
     /** Connections come for up to 0.4 s after the word to stop, and their requests just after. */
     private static final long ACCEPT_WHILE_STOPPING_MS = 600;
-    private static final long DONE_CHECK_MS = 5;
+    private static final long DONE_CHECK_MS = 10;
+    /** For connections that came last, answers that have to be read, and a loop that is behind. */
+    private static final long STOP_SLACK_MS = 5_000;
     /** A rehearsal cut short is better than a node that stays away: a slow machine gets this far. */
     private static final long REHEARSE_MS = 1_500;
 
@@ -267,6 +270,13 @@
         pool.close();
     }
 
+    /** The longest that {@link #stop} can take: what is still taken has its whole time, and to be read. */
+    long stopsWithinMs() {
+        long longestUs = config.settings().classes.stream().mapToLong(RequestClass::deadlineUs).max()
+                .orElse(0);
+        return ACCEPT_WHILE_STOPPING_MS + longestUs / 1_000 + STOP_SLACK_MS;
+    }
+
     /** Stops taking requests after a while and runs {@code done} as soon as all are answered. */
     void stop(Runnable done) {
         clients.drain();
@@ -277,7 +287,7 @@
     }
 
     private void runWhenDone(Runnable done) {
-        if (clients.isDone()) {
+        if (clients.closeResting()) {
             done.run();
         } else {
             loop.schedule(() -> runWhenDone(done), DONE_CHECK_MS, TimeUnit.MILLISECONDS);
--- a/src/test/java/cedarrelay/node/MainTest.java
+++ b/src/test/java/cedarrelay/node/MainTest.java
@@ -128,6 +128,24 @@
         assertEquals(0, process.exitValue());
     }
 
+    @Test
+    void sigtermWaitsForARequestWhoseClientWaitsForLong() throws Exception {
+        server.script(FakePeer.SILENT);
+        start(Fixture.config(discovery, server), "");
+        Socket client = connect();
+        FakePeer.write(client, Fixture.request("POST", "/slow", 1, "", "x"));
+        server.nextRequest();
+        Socket attempt = FakePeer.soon(server.accepted);
+        process.destroy();
+        // SIGKILL may come after 3.7 s, but a client that waits for longer is the node's to answer till then.
+        assertFalse(process.waitFor(5, TimeUnit.SECONDS), "gone with a request in hand");
+        FakePeer.write(attempt, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone");
+        String answer = FakePeer.read(client);
+        assertTrue(answer != null && answer.endsWith("done"), answer);
+        assertTrue(process.waitFor(FakePeer.PATIENCE_S, TimeUnit.SECONDS), "still there after it");
+        assertEquals(0, process.exitValue());
+    }
+
     @Test
     void sighupMovesTheWatchAndAFileThatIsBadChangesNothing() throws Exception {
         try (FakePeer next = new FakePeer(FakePeer.SILENT)) {
--- a/src/test/java/cedarrelay/node/StallTest.java
+++ b/src/test/java/cedarrelay/node/StallTest.java
@@ -6,6 +6,8 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -267,6 +269,41 @@
         }
     }
 
+    @Test
+    void whatTheSystemHasTakenWhenTheNodeStopsIsAnswered() throws Exception {
+        int port = start();
+        try (Socket kept = connect(port)) {
+            FakePeer.write(kept, view(1));
+            FakePeer.read(kept);
+            List<Socket> fresh = new ArrayList<>();
+            CountDownLatch done = new CountDownLatch(1);
+            CountDownLatch stopping = new CountDownLatch(1);
+            loop.execute(() -> {
+                // Due in one turn, in this order: the requests come, and then the time to take any is over.
+                loop.schedule(() -> {
+                    FakePeer.write(kept, view(2));
+                    for (int i = 0; i < 100; i++) {
+                        fresh.add(connect(port));
+                        FakePeer.write(fresh.get(i), view(3 + i));
+                    }
+                    stopping.countDown();
+                    return null;
+                }, 500, TimeUnit.MILLISECONDS);
+                node.stop(done::countDown);
+                park(1_000);
+            });
+            await(stopping);
+            String answer = FakePeer.read(kept);
+            assertTrue(answer != null && answer.startsWith("HTTP/1.1 200 "), answer);
+            for (Socket socket : fresh) {
+                answer = FakePeer.read(socket);
+                assertTrue(answer != null && answer.startsWith("HTTP/1.1 200 "), answer);
+                socket.close();
+            }
+            await(done);
+        }
+    }
+
     @Test
     void theClientsTimeRunsWhileItsRequestLiesUnread() throws Exception {
         int port = start();
