--- a/src/test/java/cedarrelay/node/StallTest.java
+++ b/src/test/java/cedarrelay/node/StallTest.java
@@ -62,8 +62,9 @@
     }
 
     private int start(FakePeer... servers) throws Exception {
-        Config config = Config.read(Map.of("LB_CONFIG", Fixture.write(
-                Fixture.config(discovery, servers.length == 0 ? new FakePeer[] {server} : servers)).toString()));
+        FakePeer[] known = servers.length == 0 ? new FakePeer[] {server} : servers;
+        Config config = Config.read(
+                Map.of("LB_CONFIG", Fixture.write(Fixture.config(discovery, known)).toString()));
         node = loop.submit(() -> new Node(config, loop)).get();
         CountDownLatch ready = new CountDownLatch(1);
         Channel channel = loop.submit(() -> node.start(group, 8, 0, ready::countDown)).get().sync().channel();
