Give a list that has to be asked for its time, and hear of silence after 3 s

Chosen: 0.4 s holds only where lists are pushed by an agent on the same machine; a call that discovery has to work for may take as long as silence. Silence is half as long again as the 2 s between two lines, 3 s in place of 4.5: the call after it then has nearly 3 s before what was missed counts as told.

Test in NodeTest, seen to fail without ("asked again").

--- a/src/main/java/cedarrelay/node/Discovery.java
+++ b/src/main/java/cedarrelay/node/Discovery.java
@@ -32,12 +32,13 @@
 /** The watch on the list of servers: one at a time, opened when asked for, reported once when it fails. */
 final class Discovery {
     /**
-     * Something comes every 2 s: twice missed is silence. What a silent watch misses counts as told after 6 s
-     * and {@code rules.drainGraceUs} more for the last send: another call has to be answered before.
+     * Something comes every 2 s: half as long again is silence. What a silent watch misses counts as told
+     * after 6 s, and nothing new may go by it {@code rules.drainGraceUs} later: by then another call has to
+     * be answered, which takes its time where lists are asked for.
      */
-    static final long SILENT_MS = 4_500;
-    /** The agent is on this machine and begins its answer at once, or it is silent as a whole. */
-    private static final long BEGUN_MS = 400;
+    static final long SILENT_MS = 3_000;
+    /** Where lists are pushed, the agent on this machine begins its answer at once, or is all silent. */
+    static final long BEGUN_MS = 400;
     /** So long may the pieces of a message lie apart: one cut short is never finished. */
     private static final long PIECE_MS = 250;
     /** No version is known, so that the whole list is wanted. */
@@ -58,14 +59,18 @@
     private final EventLoop loop;
     private InetSocketAddress address;
     private final Listener listener;
+    private final long begunMs;
     private final long silentMs;
     private long revision;
     private Watch watch;
 
-    Discovery(EventLoop loop, InetSocketAddress address, long revision, long silentMs, Listener listener) {
+    /** The answer to a call has to begin within {@code begunMs}, and then to go on each {@code silentMs}. */
+    Discovery(EventLoop loop, InetSocketAddress address, long revision, long begunMs, long silentMs,
+            Listener listener) {
         this.loop = loop;
         this.address = address;
         this.revision = revision;
+        this.begunMs = begunMs;
         this.silentMs = silentMs;
         this.listener = listener;
     }
@@ -131,7 +136,7 @@
         private boolean over;
 
         void open() {
-            expectWithin(Math.min(silentMs, BEGUN_MS));
+            expectWithin(begunMs);
             NioSocketChannel fresh;
             try {
                 fresh = new NioSocketChannel();
--- a/src/main/java/cedarrelay/node/Node.java
+++ b/src/main/java/cedarrelay/node/Node.java
@@ -194,6 +194,7 @@
         clients = new ClientServer(loop, sockets, stall, new ClientRequest.Reader(config.settings()),
                 this::take);
         discovery = new Discovery(loop, config.discovery(), config.known().revision(),
+                config.settings().listOnRequest ? Discovery.SILENT_MS : Discovery.BEGUN_MS,
                 Discovery.SILENT_MS, this);
     }
 
--- a/src/test/java/cedarrelay/node/DiscoveryTest.java
+++ b/src/test/java/cedarrelay/node/DiscoveryTest.java
@@ -63,8 +63,8 @@
 
     private Discovery subscribe(long silentMs) throws Exception {
         EventLoop loop = group.next();
-        Discovery discovery = new Discovery(loop, new InetSocketAddress("127.0.0.1", port), 41, silentMs,
-                this);
+        Discovery discovery = new Discovery(loop, new InetSocketAddress("127.0.0.1", port), 41,
+                Math.min(silentMs, Discovery.BEGUN_MS), silentMs, this);
         loop.submit(discovery::subscribe).get();
         return discovery;
     }
--- a/src/test/java/cedarrelay/node/NodeTest.java
+++ b/src/test/java/cedarrelay/node/NodeTest.java
@@ -246,6 +246,22 @@
         assertTrue(discovery.nextRequest().contains("after=43 "));
     }
 
+    @Test
+    void aListThatHasToBeAskedForIsWaitedForAndOneThatIsPushedIsNot() throws Exception {
+        start(first);
+        discovery.nextRequest();
+        // A second is nothing for a call that discovery has to work for.
+        assertNull(discovery.requests.poll(1, TimeUnit.SECONDS), "asked again");
+        try (FakePeer agent = new FakePeer(FakePeer.SILENT)) {
+            JsonObject json = Fixture.config(agent, first);
+            json.getAsJsonObject("settings").addProperty("membershipMode", "pushed");
+            start(json);
+            for (int i = 0; i < 3; i++) {
+                agent.nextRequest();
+            }
+        }
+    }
+
     @Test
     void badInputIsAnswered4xxAndNeverSentOn() throws Exception {
         int port = start(Fixture.config(discovery, first));
