Hold a repeat to its window when it is written, not only when it is decided

The repeat is decided 0.927 s after the first send, waits 139 ms for a connection, and is written 1.065 s after it. Ruled out on the same trace: the first attempt is surely TIMEOUT, so no wrong "never ran"; the loop is not behind (stall 0); the group is "all"; no second copy is out.

At fault: ServiceQBalancer.mayTryAgain asked for the window when it decided; Node.send and ServerPool.park wrote the request whenever its connection came up, up to the dial's limit later.

Mend: the module tells with each send by when its last byte has to be handed over (Call.repeatableUntil, which mayTryAgain uses too), and the node carries that out: what waits for its connection then is not sent, and what is partly written is cut off; both surely never ran. Where nothing binds there is no bound.

Tests: StallTest.aRepeatWhoseConnectionComesUpAfterItsWindowIsNotSent (real sockets; the loop is held between the dial and its end) answers 200 in place of 502 without the mend; RulesTest, ServerPoolTest.

--- a/src/main/java/cedarrelay/Balancer.java
+++ b/src/main/java/cedarrelay/Balancer.java
@@ -44,8 +44,15 @@
 
     /** What the module asks of its node. Calls take effect in order, at the time of the event. */
     interface Actions {
-        /** Start the next attempt of a request (numbered 0, 1, 2 ...), to be given up at {@code untilUs}. */
-        void send(long requestId, String serverId, long untilUs);
+        /** No bound in time but the attempt's own. */
+        long ANY_TIME = Long.MAX_VALUE;
+
+        /**
+         * Start the next attempt of a request (numbered 0, 1, 2 ...), to be given up at {@code untilUs}. What
+         * has not been handed over to its last byte by {@code sendByUs} must not be any more: it may wait
+         * for its connection, and a repeat is lawful for a while only. {@link #ANY_TIME} sets no such bound.
+         */
+        void send(long requestId, String serverId, long untilUs, long sendByUs);
 
         /** Stop waiting for an attempt; it still gets its outcome. */
         void cancel(long requestId, int attempt);
--- a/src/main/java/cedarrelay/Call.java
+++ b/src/main/java/cedarrelay/Call.java
@@ -1,5 +1,7 @@
 package cedarrelay;
 
+import cedarrelay.Balancer.Actions;
+import cedarrelay.Balancer.Repeat;
 import cedarrelay.Balancer.Request;
 import cedarrelay.Balancer.RequestClass;
 import cedarrelay.Balancer.Result;
@@ -53,4 +55,11 @@
         }
         return -1;
     }
+
+    /** Rule 2: until when a further attempt may go out, wherever it goes. */
+    long repeatableUntil() {
+        int binding = binding();
+        return binding < 0 || cls.repeat() == Repeat.SAFE ? Actions.ANY_TIME
+                : cls.repeat() == Repeat.KEYED ? sentAt[binding] + cls.windowUs() : 0;
+    }
 }
--- a/src/main/java/cedarrelay/ServiceQBalancer.java
+++ b/src/main/java/cedarrelay/ServiceQBalancer.java
@@ -993,6 +993,8 @@
     // ---------------------------------------------------------------- sending
 
     private void send(Call call, Server server) {
+        // Before this attempt counts: the window runs from an earlier one.
+        long sendBy = call.repeatableUntil();
         int attempt = call.attempts++;
         sendTokens = Math.max(0, sendTokens - 1);
         call.servers[attempt] = server;
@@ -1014,7 +1016,7 @@
             keepOut(server, call.request.classIndex());
             end = Math.min(end, doubtfulEnd(call));
         }
-        out.send(call.request.id(), server.id, end);
+        out.send(call.request.id(), server.id, end, sendBy);
     }
 
     /** Exception, time-out at the aim: where a later answer earns nothing, it only keeps its server busy. */
@@ -1083,16 +1085,8 @@
 
     /** Rule 2: whether any further attempt could be lawful, wherever it goes. */
     private boolean mayTryAgain(Call call) {
-        if (call.attempts >= set.maxAttempts || now >= call.deadlineAt || call.streaming
-                || isWorthless(call)) {
-            return false;
-        }
-        int binding = call.binding();
-        return binding < 0 || switch (call.cls.repeat()) {
-            case SAFE -> true;
-            case KEYED -> now <= call.sentAt[binding] + call.cls.windowUs();
-            case UNSAFE -> false;
-        };
+        return call.attempts < set.maxAttempts && now < call.deadlineAt && !call.streaming
+                && !isWorthless(call) && now <= call.repeatableUntil();
     }
 
     /** Rules 2 to 4 for one server: the keyed group, the list's word, and a cold server's budget. */
--- a/src/main/java/cedarrelay/benchlink/Reply.java
+++ b/src/main/java/cedarrelay/benchlink/Reply.java
@@ -32,7 +32,7 @@
     }
 
     @Override
-    public void send(long requestId, String serverId, long untilUs) {
+    public void send(long requestId, String serverId, long untilUs, long sendByUs) {
         open("route");
         handle(requestId);
         text(" server=");
--- a/src/main/java/cedarrelay/node/Node.java
+++ b/src/main/java/cedarrelay/node/Node.java
@@ -138,21 +138,24 @@
         private final int number;
         private final long sentUs;
         private final long untilUs;
+        private final long sendByUs;
         private ServerPool.Attempt attempt;
         private ScheduledFuture<?> timer;
+        private ScheduledFuture<?> sendTimer;
         private long stallUs;
         private boolean over;
 
-        Sent(Held request, int number, long sentUs, long untilUs) {
+        Sent(Held request, int number, long sentUs, long untilUs, long sendByUs) {
             this.request = request;
             this.number = number;
             this.sentUs = sentUs;
             this.untilUs = untilUs;
+            this.sendByUs = sendByUs;
         }
 
         @Override
         public boolean isWanted() {
-            return request.isAwaited();
+            return nowUs() <= sendByUs && request.isAwaited();
         }
 
         @Override
@@ -169,6 +172,9 @@
             if (timer != null) {
                 timer.cancel(false);
             }
+            if (sendTimer != null) {
+                sendTimer.cancel(false);
+            }
             if (result == Result.OK && !request.over) {
                 request.exchange.served(answer);
                 request.end();
@@ -393,7 +399,7 @@
     // ---------------------------------------------------------------- the module's actions
 
     @Override
-    public void send(long requestId, String serverId, long untilUs) {
+    public void send(long requestId, String serverId, long untilUs, long sendByUs) {
         Held request = held.get(requestId);
         if (request == null) {
             LOG.log(Level.ERROR, "the module sent a request that is not held");
@@ -401,15 +407,18 @@
         }
         long now = nowUs();
         long until = untilUs <= 0 ? request.deadlineUs : Math.min(untilUs, request.deadlineUs);
-        Sent sent = new Sent(request, request.sent.size(), now, until);
+        Sent sent = new Sent(request, request.sent.size(), now, until, sendByUs);
         request.sent.add(sent);
         request.out++;
-        if (now >= until || !request.isAwaited()) {
+        if (now >= until || now > sendByUs || !request.isAwaited()) {
             sent.ended(Result.MOOT, null);
             return;
         }
         sent.timer = at(until, () -> sent.attempt.giveUp(Result.TIMEOUT));
         sent.attempt = pool.start(serverId, sent);
+        if (sendByUs < until && !sent.over) {
+            sent.sendTimer = at(sendByUs, sent.attempt::giveUpUnlessSent);
+        }
     }
 
     @Override
--- a/src/main/java/cedarrelay/node/ServerPool.java
+++ b/src/main/java/cedarrelay/node/ServerPool.java
@@ -124,6 +124,13 @@
             end(used.written ? result : Result.CONNECT_FAILED, null);
         }
 
+        /** Stops waiting if its last byte has not been handed over: it must not go out any more. */
+        void giveUpUnlessSent() {
+            if (connection == null || !connection.written) {
+                giveUp(Result.CANCELLED);
+            }
+        }
+
         private void end(Result result, Answer answer) {
             if (!over) {
                 over = true;
--- a/src/test/java/cedarrelay/Node.java
+++ b/src/test/java/cedarrelay/Node.java
@@ -25,7 +25,7 @@
     static final int UNSAFE = 4;
 
     /** An attempt as it was asked for. */
-    record Sent(long atUs, long request, int attempt, String server, long untilUs) { }
+    record Sent(long atUs, long request, int attempt, String server, long untilUs, long sendByUs) { }
 
     final Settings settings;
     final List<Sent> sent = new ArrayList<>();
@@ -168,8 +168,8 @@
     }
 
     @Override
-    public void send(long requestId, String serverId, long untilUs) {
-        sent.add(new Sent(now, requestId, attempts(requestId), serverId, untilUs));
+    public void send(long requestId, String serverId, long untilUs, long sendByUs) {
+        sent.add(new Sent(now, requestId, attempts(requestId), serverId, untilUs, sendByUs));
     }
 
     @Override
--- a/src/test/java/cedarrelay/RandomEventsTest.java
+++ b/src/test/java/cedarrelay/RandomEventsTest.java
@@ -91,7 +91,7 @@
         }
 
         @Override
-        public void send(long requestId, String serverId, long untilUs) {
+        public void send(long requestId, String serverId, long untilUs, long sendByUs) {
             trace.append(now).append(" send ").append(requestId).append(serverId).append('\n');
             Held request = held.get(requestId);
             ServerEntry server = servers.get(serverId);
--- a/src/test/java/cedarrelay/RulesTest.java
+++ b/src/test/java/cedarrelay/RulesTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
+import cedarrelay.Balancer.Actions;
 import cedarrelay.Balancer.ListKind;
 import cedarrelay.Balancer.Outcome;
 import cedarrelay.Balancer.Request;
@@ -95,6 +96,23 @@
         assertEquals(3, node.attempts(id));
     }
 
+    @Test
+    void aRepeatHasToGoOutInsideTheWindowAndWhatNeverRanAtAnyTime() {
+        Node node = new Node(Node.lateCounts(), 7).with(4);
+        long id = node.ask(Node.KEYED_ALL);
+        assertEquals(Actions.ANY_TIME, node.last(id).sendByUs());
+        node.answer(id, Result.CONNECT_FAILED, 100_000);
+        assertEquals(Actions.ANY_TIME, node.last(id).sendByUs());
+        long window = node.now + 400_000;
+        node.answer(id, Result.ERROR, 100_000);
+        assertEquals(window, node.last(id).sendByUs());
+        node.answer(id, Result.ERROR, 100_000);
+        assertEquals(window, node.last(id).sendByUs());
+        long safe = node.ask(Node.SAFE);
+        node.answer(safe, Result.ERROR, 100_000);
+        assertEquals(Actions.ANY_TIME, node.last(safe).sendByUs());
+    }
+
     @Test
     void aTimeOutAtTheDeadlineIsAnsweredAtOnceAndNothingFollows() {
         Node node = new Node().with(3);
--- a/src/test/java/cedarrelay/node/Fixture.java
+++ b/src/test/java/cedarrelay/node/Fixture.java
@@ -11,6 +11,8 @@
 /** Configurations, requests and lists for tests. */
 final class Fixture {
     static final int REMAINING_MS = 20_000;
+    /** Of the class "photo". */
+    static final int WINDOW_MS = 1_200;
 
     private static final String CLASSES = """
             [{"name":"view","onTimeUs":10000000,"giveUpUs":30000000,"repeat":"safe","group":"all"},
--- a/src/test/java/cedarrelay/node/ServerPoolTest.java
+++ b/src/test/java/cedarrelay/node/ServerPoolTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -328,6 +329,31 @@
         }
     }
 
+    @Test
+    void whatIsOnlyPartlyHandedOverInTimeIsCutOffAndNeverRan() throws Exception {
+        try (ServerSocket deaf = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            Probe probe = new Probe(64 << 20);
+            ServerPool.Attempt attempt = start(pool("127.0.0.1:" + deaf.getLocalPort(), IDLE_US), probe);
+            Socket accepted = deaf.accept();
+            accepted.getInputStream().read();
+            loop.submit(attempt::giveUpUnlessSent).get();
+            assertEquals(Result.CONNECT_FAILED, probe.report().result());
+            assertTrue(accepted.getInputStream().transferTo(OutputStream.nullOutputStream()) < 64 << 20,
+                    "written to its end");
+        }
+    }
+
+    @Test
+    void whatHasBeenHandedOverInTimeIsWaitedFor() throws Exception {
+        server.script(FakePeer.SILENT);
+        Probe probe = new Probe(10);
+        ServerPool.Attempt attempt = start(pool(server.address(), IDLE_US), probe);
+        server.nextRequest();
+        loop.submit(attempt::giveUpUnlessSent).get();
+        FakePeer.write(FakePeer.soon(server.accepted), "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        assertEquals(Result.OK, probe.report().result());
+    }
+
     @Test
     void anAttemptGivenUpClosesItsConnection() throws Exception {
         server.script(FakePeer.SILENT);
--- a/src/test/java/cedarrelay/node/StallTest.java
+++ b/src/test/java/cedarrelay/node/StallTest.java
@@ -198,12 +198,8 @@
             int port = start(server, other);
             Socket client = connect(port);
             FakePeer.write(client, view(1) + ahead);
-            while (server.accepted.isEmpty() && other.accepted.isEmpty()) {
-                park(1);
-            }
-            FakePeer failing = server.accepted.isEmpty() ? other : server;
+            FakePeer failing = asked(server, other);
             FakePeer spared = failing == server ? other : server;
-            failing.nextRequest();
             // A request that has only just come is not worth the look.
             park(100);
             if (both.getCount() > 0) {
@@ -230,6 +226,41 @@
         }
     }
 
+    /** The one of two that the first request has been sent to. */
+    private static FakePeer asked(FakePeer one, FakePeer other) throws Exception {
+        while (one.accepted.isEmpty() && other.accepted.isEmpty()) {
+            park(1);
+        }
+        FakePeer asked = one.accepted.isEmpty() ? other : one;
+        asked.nextRequest();
+        return asked;
+    }
+
+    @Test
+    void aRepeatWhoseConnectionComesUpAfterItsWindowIsNotSent() throws Exception {
+        server.script(FakePeer.SILENT);
+        try (FakePeer other = new FakePeer(FakePeer.SILENT)) {
+            int port = start(server, other);
+            try (Socket client = connect(port)) {
+                FakePeer.write(client,
+                        Fixture.request("POST", "/photo/1", 1, "Idempotency-Key: k\r\n", ""));
+                FakePeer failing = asked(server, other);
+                (failing == server ? other : server).script(FakePeer.answer("200 OK", "", "done"));
+                CountDownLatch reset = new CountDownLatch(1);
+                loop.execute(() -> {
+                    // Due behind the turn that hears of the reset and dials the other server.
+                    loop.schedule(() -> park(Fixture.WINDOW_MS), 0, TimeUnit.MILLISECONDS);
+                    await(reset);
+                });
+                FakePeer.RESET.run(FakePeer.soon(failing.accepted), "");
+                reset.countDown();
+                String answer = FakePeer.read(client);
+                assertTrue(answer.startsWith("HTTP/1.1 502 "), answer);
+            }
+            assertTrue(server.requests.isEmpty() && other.requests.isEmpty(), "sent after its window");
+        }
+    }
+
     private static void end(Socket client, boolean reset) throws Exception {
         client.setSoLinger(reset, 0);
         client.close();
