Take a connection that comes up together with its end for one that never came up

Found by reading for "coming up and reset arrive together": Connection.park reads before it sends, and where that read brought the end it closed the connection and left. The attempt in line then had neither a connection nor a dial and waited until its own time was up, or for another connection to be given back. Nothing was sent twice by it. A reset was heard of by the connect itself; a plain close was not.

Mend: the dial's listener asks whether the connection is still there; if not, the dial has failed, and the first in line is told so at once (the protocol: it broke before the last byte, could not connect, never).

Test on real sockets: ServerPoolTest.aConnectionThatComesUpTogetherWithItsEndIsNone, close and reset; the loop is held between the dial and its end. Without the mend the close fails ("nothing came" in 30 s), the reset passes.

--- a/src/main/java/cedarrelay/node/ServerPool.java
+++ b/src/main/java/cedarrelay/node/ServerPool.java
@@ -292,7 +292,8 @@
                         new AnswerReader.Decoder(), new HttpRequestEncoder(), connection);
             }
         }).connect(server.address).addListener(done -> {
-            if (!done.isSuccess()) {
+            // One whose end has come with it never was of any use, and those in line wait for nothing else.
+            if (!done.isSuccess() || !connection.isQuiet()) {
                 dialFailed(server, generation);
             } else {
                 server.dialing -= generation == server.generation ? 1 : 0;
--- a/src/test/java/cedarrelay/node/ServerPoolTest.java
+++ b/src/test/java/cedarrelay/node/ServerPoolTest.java
@@ -14,6 +14,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -316,6 +317,26 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aConnectionThatComesUpTogetherWithItsEndIsNone(boolean reset) throws Exception {
+        try (ServerSocket closing = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            ServerPool pool = pool("127.0.0.1:" + closing.getLocalPort(), IDLE_US);
+            Probe probe = new Probe(10);
+            CountDownLatch ended = new CountDownLatch(1);
+            loop.execute(() -> {
+                pool.start("s", probe);
+                // Behind the dial: the loop hears that it is up and that it has ended in one turn.
+                loop.submit(() -> ended.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS));
+            });
+            Socket accepted = closing.accept();
+            accepted.setSoLinger(reset, 0);
+            accepted.close();
+            ended.countDown();
+            assertEquals(Result.CONNECT_FAILED, probe.report().result());
+        }
+    }
+
     @Test
     void whatBreaksBeforeTheLastByteIsHandedOverNeverRan() throws Exception {
         try (ServerSocket deaf = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
