Answer 409 to an id whose request is over, as to one that is still in hand

Found by reading for every way in which work goes out again: Node.take knew an id only while its request was held.

Mend: the ids of the last 4,096 requests of which an attempt was begun are kept; what comes again under one of them is told 409, as before for those in hand. Ids are new with every request, a client's retry included, so none that is rightly asked is turned away; one that no server was sent to is not kept.

Test on real sockets: NodeTest.anIdWhoseRequestIsOverIsNotSentOnAgain (200 in place of 409 without the mend).

--- a/src/main/java/cedarrelay/node/Node.java
+++ b/src/main/java/cedarrelay/node/Node.java
@@ -5,10 +5,13 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -58,6 +61,8 @@
     private static final long DONE_CHECK_MS = 10;
     /** For connections that came last, answers that have to be read, and a loop that is behind. */
     private static final long STOP_SLACK_MS = 5_000;
+    /** Some seconds of requests at a node that is busy, far longer than a copy takes to come. */
+    private static final int MOST_OVER = 4_096;
     /** A rehearsal cut short is better than a node that stays away: a slow machine gets this far. */
     private static final long REHEARSE_MS = 1_500;
 
@@ -74,6 +79,16 @@
      * always convert to the same value: a second one would look like a second start. */
     private final long originUs = 1_000 * System.currentTimeMillis();
     private final Map<Long, Held> held = new HashMap<>();
+    /** Ids of requests that are over and that servers may have run, newest last: one that comes again, as a
+     * copy that the answer crossed, is no new request. */
+    private final Set<Long> over = Collections.newSetFromMap(new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
+            return size() > MOST_OVER;
+        }
+    });
     private final Map<String, Integer> zones = new HashMap<>();
     private final Deque<Event> events = new ArrayDeque<>();
     private boolean inCall;
@@ -128,6 +143,9 @@
         void forgetIfDone() {
             if (over && out == 0) {
                 held.remove(id, this);
+                if (!sent.isEmpty()) {
+                    Node.this.over.add(id);
+                }
             }
         }
     }
@@ -356,8 +374,8 @@
 
     private void take(Exchange exchange) {
         ClientRequest request = exchange.request();
-        if (held.containsKey(request.id())) {
-            exchange.failed(HttpResponseStatus.CONFLICT, "a request of this id is in hand");
+        if (held.containsKey(request.id()) || over.contains(request.id())) {
+            exchange.failed(HttpResponseStatus.CONFLICT, "a request of this id is in hand or over");
             return;
         }
         long arrivedUs = us(exchange.arrivedNs());
--- a/src/test/java/cedarrelay/node/NodeTest.java
+++ b/src/test/java/cedarrelay/node/NodeTest.java
@@ -461,6 +461,16 @@
         assertTrue(first.requests.isEmpty());
     }
 
+    @Test
+    void anIdWhoseRequestIsOverIsNotSentOnAgain() throws Exception {
+        start(first);
+        assertEquals(200, status(ask(Fixture.request("POST", "/order", 1, "", ""))));
+        // Another client's copy of it that the answer crossed.
+        assertEquals(409, status(ask(Fixture.request("POST", "/order", 1, "", ""))));
+        assertEquals(200, status(ask(Fixture.request("POST", "/order", 2, "", ""))));
+        assertEquals(2, first.requests.size());
+    }
+
     @Test
     void idleConnectionsMakeRoomUnderTheLimitOfSockets() throws Exception {
         JsonObject json = Fixture.config(discovery, first);
