Bound the wait between failed list calls, and make a lost first call again at once

A newer term: whatever became of the calls before, a change counts as told 6 s after discovery had it and could be reached, and 0.5 s later nothing may go to a server that drains.

At fault: the bound of listBackoffUs in ServiceQBalancer.onListFailed, by askWithinUs alone; and Node.subscribe.

Mend: the wait is 1 s at most, 1.5 s with its jitter, whatever askWithinUs is: 3 + 1.5 s leave 1.5 s for the answer. It floods nobody: an unanswered call takes 3 s by itself, so a node calls a silent discovery every 4 s on the mean, and one that refuses once a second. Before the list is in use a call is made if none is out.

RulesTest: after five failures in a row the next call came later than 1.5 s. The constant's reason is the protocol's 6 s.

--- a/src/main/java/cedarrelay/ServiceQBalancer.java
+++ b/src/main/java/cedarrelay/ServiceQBalancer.java
@@ -107,6 +107,9 @@
     private static final double SHARE_BURST_S = 1;
     /** First wait before a failed list call is made again; doubled each time. */
     private static final long LIST_BACKOFF_US = 250_000;
+    /** And the longest, half as long again by its jitter: with the 3 s of a call that is given up, and the
+     * answer to the next, it stays under the 6 s after which a change counts as told. */
+    private static final long MOST_LIST_BACKOFF_US = 1_000_000;
 
     private static final Comparator<Call> BY_VALUE = Comparator.comparingDouble(call -> -call.value);
     private final Settings set;
@@ -265,7 +268,8 @@
         }
         // Jittered backoff: nodes that failed together must not ask together again.
         askListAt = now + listBackoffUs / 2 + random.nextLong(listBackoffUs);
-        listBackoffUs = Math.min(2 * listBackoffUs, Math.max(1, set.askWithinUs / 4));
+        listBackoffUs = Math.min(2 * listBackoffUs,
+                Math.max(1, Math.min(MOST_LIST_BACKOFF_US, set.askWithinUs / 4)));
         scheduleWake();
     }
 
--- a/src/main/java/cedarrelay/node/Node.java
+++ b/src/main/java/cedarrelay/node/Node.java
@@ -501,9 +501,12 @@
 
     @Override
     public void subscribe() {
-        // Given the known list, the module asks for a newer one: that was done at the start.
-        if (!rehearsing && listInUse) {
+        if (listInUse) {
             discovery.subscribe();
+        } else if (!rehearsing) {
+            // Given the known list, the module asks for a newer one: at the start that was done already, and
+            // is done anew only if that call has failed since.
+            discovery.keepSubscribed();
         }
     }
 
--- a/src/test/java/cedarrelay/RulesTest.java
+++ b/src/test/java/cedarrelay/RulesTest.java
@@ -197,6 +197,23 @@
         assertEquals(7, node.subscriptions);
     }
 
+    @Test
+    void aListThatCouldNotBeHadForLongIsAskedForInTimeOnceItCan() {
+        for (int seed = 0; seed < 20; seed++) {
+            Settings set = Node.settings();
+            set.listOnRequest = true;
+            set.askWithinUs = 40_000_000;
+            Node node = new Node(set, seed).with(1);
+            for (int failures = 0; failures < 12; failures++) {
+                int before = node.subscriptions;
+                node.balancer.onListFailed(node.now);
+                // A call given up takes 3 s, and the next one has to be answered 6 s after the first began.
+                node.advance(1_500_000);
+                assertEquals(before + 1, node.subscriptions, "after " + failures + " failures");
+            }
+        }
+    }
+
     @Test
     void aCallThatIsNeverAnsweredIsMadeAgainInsideTheTimeAllowed() {
         Settings set = Node.settings();
--- a/src/test/java/cedarrelay/node/FakePeer.java
+++ b/src/test/java/cedarrelay/node/FakePeer.java
@@ -39,8 +39,13 @@
     private volatile Script script;
 
     FakePeer(Script script) throws IOException {
+        this(0, script);
+    }
+
+    /** At a port that was another's before, say. */
+    FakePeer(int port, Script script) throws IOException {
         this.script = script;
-        listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        listening = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
         daemon(() -> {
             while (true) {
                 Socket socket = listening.accept();
