Test idle clients that fill the descriptors, and lists of 1,100 servers on the deployed heap

MainTest.idleClientsTakeNoDescriptorFromDiscoveryServersAndRequests: a process with 128 descriptors, 300 clients that ask once or never and stay, discovery silent; once it answers, a request has to be served by the server that only it names within 6 s.

MainTest.listsOfOverAThousandServersAreTakenOnTheDeployedHeap: 1,100 servers, indented, as `known` and from discovery in pieces of 1,000 bytes, 1,100 processes in the settings, memory as `run` in the deploy file sets it.

--- a/src/test/java/cedarrelay/node/Fixture.java
+++ b/src/test/java/cedarrelay/node/Fixture.java
@@ -64,6 +64,11 @@
     }
 
     static void line(Socket watch, String line) throws IOException {
-        FakePeer.write(watch, Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n");
+        piece(watch, line + "\n");
+    }
+
+    /** A part of a message, or of several. */
+    static void piece(Socket watch, String text) throws IOException {
+        FakePeer.write(watch, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
     }
 }
--- a/src/test/java/cedarrelay/node/MainTest.java
+++ b/src/test/java/cedarrelay/node/MainTest.java
@@ -13,10 +13,15 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
+import com.google.gson.Gson;
+import com.google.gson.GsonBuilder;
 import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -25,6 +30,9 @@
 /** The program as a process of its own: its start, its end, and few descriptors. */
 @Timeout(120)
 class MainTest {
+    /** More than the 1,024 that no list may be capped under. */
+    private static final int MANY = 1_100;
+
     private FakePeer discovery;
     private FakePeer server;
     private Process process;
@@ -57,10 +65,14 @@
     }
 
     private void run(String config, String before) throws IOException {
+        run(config, before, "-Xmx64m");
+    }
+
+    private void run(String config, String before, String memory) throws IOException {
         String path = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c",
-                before + "exec \"$JAVA\" -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx64m -cp \"$JARS\" "
-                + "cedarrelay.node.Main");
+                before + "exec \"$JAVA\" -XX:+UseSerialGC -XX:TieredStopAtLevel=1 " + memory
+                + " -cp \"$JARS\" cedarrelay.node.Main");
         Path java = Path.of(System.getProperty("java.home"), "bin", "java");
         builder.environment().put("JAVA", java.toString());
         builder.environment().put("JARS", path);
@@ -221,6 +233,94 @@
         }
     }
 
+    /** Clients that ask once or never and stay, more than there are descriptors, while discovery is down. */
+    @Test
+    void idleClientsTakeNoDescriptorFromDiscoveryServersAndRequests() throws Exception {
+        JsonObject config = Fixture.config(discovery, server);
+        config.getAsJsonObject("settings").addProperty("membershipMode", "pushed");
+        start(config, "ulimit -n 128 && ");
+        List<Socket> idle = new ArrayList<>();
+        try (FakePeer fresh = new FakePeer(FakePeer.answer("200 OK", "", "fresh"))) {
+            for (int i = 0; i < 300; i++) {
+                idle.add(connect());
+                if (i % 2 == 0) {
+                    FakePeer.write(idle.get(i), Fixture.request("GET", "/view", i, "", ""));
+                }
+            }
+            discovery.script((watch, call) -> {
+                Fixture.beginWatch(watch);
+                Fixture.line(watch, Fixture.list(42, true, "Ready", fresh));
+            });
+            long backNs = System.nanoTime();
+            for (int i = 1_000; fresh.requests.isEmpty(); i++) {
+                try (Socket asking = connect()) {
+                    FakePeer.write(asking, Fixture.request("GET", "/view", i, "", ""));
+                    String answer = FakePeer.read(asking);
+                    assertTrue(answer != null && answer.startsWith("HTTP/1.1 200"), answer);
+                }
+                assertTrue(System.nanoTime() - backNs < TimeUnit.SECONDS.toNanos(6), "not told in time");
+            }
+        }
+        for (Socket socket : idle) {
+            socket.close();
+        }
+    }
+
+    /** The sizes of memory that {@code run} in the deploy file sets. */
+    private static String deployedMemory() throws IOException {
+        String run = Files.readAllLines(Path.of("deploy", "balancer.toml")).stream()
+                .filter(line -> line.startsWith("run ")).findFirst().orElseThrow();
+        String sizes = Arrays.stream(run.split(" ")).filter(option -> option.matches("-X.*\\d+m"))
+                .collect(Collectors.joining(" "));
+        assertTrue(sizes.contains("-Xmx"), run);
+        return sizes;
+    }
+
+    private static JsonObject manyAt(FakePeer peer, String prefix) {
+        JsonObject list = JsonParser.parseString(Fixture.list(43, true, "Ready", peer)).getAsJsonObject();
+        JsonObject one = list.getAsJsonArray("targets").get(0).getAsJsonObject();
+        for (int i = 1; i < MANY; i++) {
+            JsonObject next = one.deepCopy();
+            next.addProperty("uid", prefix + i);
+            list.getAsJsonArray("targets").add(next);
+        }
+        return list;
+    }
+
+    @Test
+    void listsOfOverAThousandServersAreTakenOnTheDeployedHeap() throws Exception {
+        Gson indented = new GsonBuilder().setPrettyPrinting().create();
+        JsonObject config = Fixture.config(discovery, server);
+        config.add("known", manyAt(server, "known-"));
+        config.addProperty("listen", "127.0.0.1:" + port);
+        config.getAsJsonObject("settings").addProperty("balancers", MANY);
+        Path file = Files.writeString(Fixture.write(config), indented.toJson(config));
+        try (FakePeer fresh = new FakePeer(FakePeer.answer("200 OK", "", "fresh"))) {
+            run(file.toString(), "", deployedMemory());
+            discovery.nextRequest();
+            await("/ready");
+            try (Socket client = connect()) {
+                FakePeer.write(client, Fixture.request("GET", "/view", 0, "", ""));
+                assertTrue(FakePeer.read(client).startsWith("HTTP/1.1 200"));
+                assertFalse(server.requests.isEmpty(), "the known list is not in use");
+                Socket watch = FakePeer.soon(discovery.accepted);
+                Fixture.beginWatch(watch);
+                String list = indented.toJson(manyAt(fresh, "fresh-"));
+                for (int from = 0; from < list.length(); from += 1_000) {
+                    Fixture.piece(watch, list.substring(from, Math.min(list.length(), from + 1_000)));
+                }
+                long untilNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(FakePeer.PATIENCE_S);
+                for (int i = 1; fresh.requests.isEmpty(); i++) {
+                    FakePeer.write(client, Fixture.request("GET", "/view", i, "", ""));
+                    assertTrue(FakePeer.read(client).startsWith("HTTP/1.1 200"));
+                    assertTrue(System.nanoTime() - untilNs < 0, "the list from discovery is not taken");
+                }
+            }
+        }
+        String said = said();
+        assertFalse(said.contains("failed") || said.contains("Error"), said);
+    }
+
     @Test
     void manyLargeRequestsAtOnceDoNotCostIt() throws Exception {
         server.script(FakePeer.SILENT);
