Do not probe cold servers: probes spend the budget that all processes share

Seen with the new FleetTest, which plays 20 to 120 module instances on one clock (uneven traffic, failures and retries, a part of the processes begun anew after the servers' start, parts of under one call) and counts the sum: "43 calls of 28.5 within the time in which a cold server falls" with 120 processes at 60 servers, "56 calls of 32.3" at 30 servers. Fleets that have fewer processes than servers kept the budget. Ruled out: the requests themselves; without the probes the same fleets keep it.

At fault: ServiceQBalancer.ask probed both servers drawn wherever nodes outnumber servers, without a look at a cold one's budget; a probe moved no coldSentAt. Mend: a pair with a cold server in it is not asked; the draw decides as ever.

--- a/src/main/java/cedarrelay/ServiceQBalancer.java
+++ b/src/main/java/cedarrelay/ServiceQBalancer.java
@@ -663,7 +663,7 @@
     /**
      * Exception, asking: where probes are allowed and nodes outnumber servers, own requests in flight tell
      * nothing: both servers drawn are probed, and the first to answer gets the request; if neither does
-     * soon, the draw decides as ever.
+     * soon, the draw decides as ever. Nor are cold servers asked, whose budget is spent by probes too.
      */
     private boolean ask(Call call) {
         double usual = latencyUs[call.request.classIndex()];
@@ -676,7 +676,7 @@
         Server first = drawByZone(call);
         Server second = first == null ? null : drawByZone(call);
         if (second == null || second == first || first.inFlight != second.inFlight
-                || first.faults + second.faults > FAULTY) {
+                || first.faults + second.faults > FAULTY || isCold(first) || isCold(second)) {
             return false;
         }
         call.asking = true;
