--- a/src/test/java/cedarrelay/node/MainTest.java
+++ b/src/test/java/cedarrelay/node/MainTest.java
@@ -357,6 +357,9 @@
         noSeed.remove("seed");
         JsonObject noClasses = Fixture.config(discovery, server);
         noClasses.getAsJsonObject("settings").remove("classes");
+        JsonObject noEffect = Fixture.config(discovery, server);
+        noEffect.getAsJsonObject("settings").getAsJsonArray("classes").get(0).getAsJsonObject()
+                .addProperty("repeat", "perhaps");
         Path broken = Files.createTempFile("node", ".json");
         Files.writeString(broken, "{");
         rejected(null, "LB_CONFIG");
@@ -365,6 +368,7 @@
         rejected(Fixture.write(noSettings).toString(), "settings");
         rejected(Fixture.write(noSeed).toString(), "seed");
         rejected(Fixture.write(noClasses).toString(), "classes");
+        rejected(Fixture.write(noEffect).toString(), "classes.0.repeat is unknown: perhaps");
         Files.delete(broken);
     }
 
--- a/src/test/java/cedarrelay/node/ServerPoolTest.java
+++ b/src/test/java/cedarrelay/node/ServerPoolTest.java
@@ -156,6 +156,18 @@
         assertEquals(Result.RESET, outcome(FakePeer.raw("HELLO THERE\r\n\r\n")).result());
     }
 
+    /** Without a length only the connection's end could end it, and a reset is none. */
+    @ParameterizedTest
+    @ValueSource(strings = {"200 OK\r\n", "503 No\r\nX-Turned-Away: 1\r\n"})
+    void anAnswerWithoutLengthCutByAResetIsAReset(String head) throws Exception {
+        assertEquals(Result.RESET, outcome((socket, request) -> {
+            FakePeer.write(socket, "HTTP/1.1 " + head + "\r\nmaybe half");
+            // So that it has been read: a reset takes back what has not.
+            TimeUnit.MILLISECONDS.sleep(100);
+            FakePeer.RESET.run(socket, request);
+        }).result());
+    }
+
     /** The connection stays open behind each of these: nothing but the reading may end the attempt. */
     @ParameterizedTest
     @ValueSource(strings = {"HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 2\r\n\r\nno",
