Follow live weights by the power of 0.3 only, and sizes as they are

Cause: where weights are live, a list lowers them with what servers held some time ago. At fault: onServers took the weight of the moment to the power of 1.5. Each node alone does well by that; all 94 hear the same word up to 1.5 s late, go where little was held, and fill those until the next list. Held so long, a server of one core turns slow.

Mend: a server's size is its nominal one times the rest of what its live weight says, to the power of 0.3; sizes themselves count as they are.

--- a/src/main/java/cedarrelay/Server.java
+++ b/src/main/java/cedarrelay/Server.java
@@ -13,7 +13,7 @@
     ServerState state;
     long startedAt;
     int position;
-    /** Its size by the list, to the power {@link ServiceQBalancer#SIZE_POWER}. */
+    /** Its nominal size, lowered by a part of what the list says of its load. */
     double size = 1;
     double weight = 1;
     /** The largest weight seen: lists may lower a weight with what the server holds. */
--- a/src/main/java/cedarrelay/ServiceQBalancer.java
+++ b/src/main/java/cedarrelay/ServiceQBalancer.java
@@ -23,8 +23,8 @@
 
     /** How many times a drawn server that may not be sent to is drawn again before all are looked through. */
     private static final int REDRAWS = 3;
-    /** Power of a server's size in its weight: a large one as busy as a small one still answers sooner. */
-    static final double SIZE_POWER = 1.5;
+    /** Power by which weights that are lowered with load count: all nodes hear the same word, and late. */
+    private static final double LIVE_PART = 0.3;
     /** Share of a new answer in a server's pace. */
     private static final double PACE_GAIN = 0.3;
     /** A pace is forgotten in so many times the time in which a node asks each server once. */
@@ -233,7 +233,7 @@
             server.cell = entry.cell();
             server.weight = entry.weight() > 0 ? entry.weight() : 1;
             server.nominal = Math.max(server.nominal, server.weight);
-            server.size = Math.pow(server.weight, SIZE_POWER);
+            server.size = server.nominal * Math.pow(server.weight / server.nominal, LIVE_PART);
         }
         ready = listed.stream().filter(s -> s.state == ServerState.READY).toArray(Server[]::new);
         totalNominal = 0;
--- a/src/test/java/cedarrelay/FleetTest.java
+++ b/src/test/java/cedarrelay/FleetTest.java
@@ -3,17 +3,20 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 
 import cedarrelay.Balancer.ListKind;
+import cedarrelay.Balancer.Outcome;
 import cedarrelay.Balancer.Result;
 import cedarrelay.Balancer.ServerEntry;
 import cedarrelay.Balancer.ServerState;
 import cedarrelay.Balancer.Settings;
 import cedarrelay.Balancer.Tenant;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -119,6 +122,63 @@
         }
     }
 
+    /**
+     * Lists that lower a weight with what its server held some time ago, the same for all: were they
+     * followed to the letter, all would go where little was held, and then all elsewhere.
+     */
+    @Test
+    void liveWeightsThatComeLateDoNotMakeAllProcessesSwingTogether() {
+        int nodes = 30;
+        int servers = 12;
+        Settings set = Node.settings();
+        set.nodes = nodes;
+        List<Node> fleet = new ArrayList<>();
+        for (int i = 0; i < nodes; i++) {
+            fleet.add(new Node(set, i).with(servers));
+        }
+        SplittableRandom random = new SplittableRandom(3);
+        long[] held = new long[servers];
+        PriorityQueue<Event> answers = new PriorityQueue<>(Comparator.comparingLong(Event::atUs));
+        double mostOverMean = 0;
+        int samples = 0;
+        for (long now = 1_000_000; now < 21_000_000; now += 10_000) {
+            if (now % 1_000_000 == 0) {
+                List<ServerEntry> list = new ArrayList<>();
+                for (int i = 0; i < servers; i++) {
+                    list.add(new ServerEntry("s" + i, 0, 0, ServerState.READY, 1.0 / (1 + held[i]), 0));
+                }
+                fleet.forEach(node -> node.list(ListKind.FULL, list));
+            }
+            while (!answers.isEmpty() && answers.peek().atUs() <= now) {
+                answers.poll().run().run();
+            }
+            for (Node node : fleet) {
+                node.advance(now - node.now);
+                // Ten a second each, so that every server holds five on the mean.
+                if (random.nextInt(10) == 0) {
+                    node.ask(Node.SAFE);
+                }
+                for (Node.Sent sent : node.sent) {
+                    int server = Integer.parseInt(sent.server().substring(1));
+                    held[server]++;
+                    answers.add(new Event(now + 150_000 + random.nextInt(100_000), () -> {
+                        held[server]--;
+                        node.balancer.onOutcome(node.now, new Outcome(sent.request(), sent.attempt(),
+                                Result.OK, node.now - sent.atUs(), true, null));
+                    }));
+                }
+                node.sent.clear();
+            }
+            long sum = Arrays.stream(held).sum();
+            if (now > 3_000_000 && sum > 0) {
+                mostOverMean += Arrays.stream(held).max().orElseThrow() * (double) servers / sum;
+                samples++;
+            }
+        }
+        double swing = mostOverMean / samples;
+        assertTrue(swing < 2.2, "the fullest server holds so many times the mean: " + swing);
+    }
+
     /** Some processes get three times the mean, and a part of them begins anew after the servers' start. */
     @ParameterizedTest
     @CsvSource({"20,60,1,20,0", "20,60,36,20,0.5", "30,60,36,20,0", "30,200,120,5,1", "120,60,1,20,0",
