--- a/src/test/java/cedarrelay/node/NodeTest.java
+++ b/src/test/java/cedarrelay/node/NodeTest.java
@@ -211,6 +211,19 @@
         assertTrue(first.requests.isEmpty(), "sent again for nobody");
     }
 
+    /** A half-close looks like a close from here, and the protocol knows no client that does only that. */
+    @Test
+    void aClientThatEndsItsSendingHasLeft() throws Exception {
+        first.script(FakePeer.SILENT);
+        start(first);
+        FakePeer.write(client, Fixture.request("GET", "/view", 1, "", ""));
+        first.nextRequest();
+        client.shutdownOutput();
+        FakePeer.soon(first.ended);
+        assertNull(FakePeer.read(client), "answered");
+        assertTrue(first.requests.isEmpty(), "sent again");
+    }
+
     @Test
     void aServerThatClosesAnIdleConnectionCostsNoRequest() throws Exception {
         start(first);
--- a/src/test/java/cedarrelay/node/StallTest.java
+++ b/src/test/java/cedarrelay/node/StallTest.java
@@ -7,6 +7,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
@@ -246,12 +247,16 @@
                         Fixture.request("POST", "/photo/1", 1, "Idempotency-Key: k\r\n", ""));
                 FakePeer failing = asked(server, other);
                 (failing == server ? other : server).script(FakePeer.answer("200 OK", "", "done"));
+                CountDownLatch begun = new CountDownLatch(1);
                 CountDownLatch reset = new CountDownLatch(1);
                 loop.execute(() -> {
                     // Due behind the turn that hears of the reset and dials the other server.
                     loop.schedule(() -> park(Fixture.WINDOW_MS), 0, TimeUnit.MILLISECONDS);
+                    begun.countDown();
                     await(reset);
                 });
+                // Heard of before the loop is held, the reset would have the other dialled too early.
+                await(begun);
                 FakePeer.RESET.run(FakePeer.soon(failing.accepted), "");
                 reset.countDown();
                 String answer = FakePeer.read(client);
@@ -261,6 +266,50 @@
         }
     }
 
+    /** More requests than the server is sent at once; those that wait leave while the loop is busy. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void whatWaitsInTheQueueIsNotSentForClientsThatLeftWhileTheLoopWasBusy(boolean reset) throws Exception {
+        server.script(FakePeer.SILENT);
+        int port = start();
+        Map<String, Socket> clients = new HashMap<>();
+        for (int i = 0; i < 40; i++) {
+            Socket client = connect(port);
+            FakePeer.write(client, view(i));
+            clients.put(String.format("%016x", i), client);
+        }
+        // Whether any is still to come: all have been taken by the time that this one is answered.
+        try (Socket last = connect(port)) {
+            FakePeer.write(last, "GET /ready HTTP/1.1\r\n\r\n");
+            FakePeer.read(last);
+        }
+        List<Socket> asked = new ArrayList<>();
+        for (String request = server.nextRequest(); request != null;
+                request = server.requests.poll(200, TimeUnit.MILLISECONDS)) {
+            clients.remove(FakePeer.header(request, "X-Txn"));
+            asked.add(FakePeer.soon(server.accepted));
+        }
+        assertTrue(clients.size() > 10, "nothing waits");
+        CountDownLatch left = new CountDownLatch(1);
+        stall(left, 0);
+        server.script(FakePeer.answer("200 OK", "", "done"));
+        for (Socket socket : asked) {
+            FakePeer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        }
+        for (Socket client : clients.values()) {
+            end(client, reset);
+        }
+        left.countDown();
+        try (Socket next = connect(port)) {
+            for (int i = 100; i < 110; i++) {
+                FakePeer.write(next, view(i));
+                assertTrue(FakePeer.read(next).startsWith("HTTP/1.1 200 "));
+            }
+        }
+        assertTrue(server.requests.stream().noneMatch(r -> clients.containsKey(FakePeer.header(r, "X-Txn"))),
+                "sent on for nobody");
+    }
+
     private static void end(Socket client, boolean reset) throws Exception {
         client.setSoLinger(reset, 0);
         client.close();
