Log what becomes of each request, list and send, and count it for GET /metrics

The staging evidence told only of failed watches: nothing of what a node knew when it sent, nor why a request was closed. A failing watch is told once, not at each call. GET /metrics gives counters and peaks, unless a class has that name.

--- a/src/main/java/cedarrelay/node/ClientConnection.java
+++ b/src/main/java/cedarrelay/node/ClientConnection.java
@@ -223,6 +223,10 @@
                 answer(ready(http), keepAlive);
                 return;
             }
+            if (server.isMetrics(http)) {
+                answer(metrics(http), keepAlive);
+                return;
+            }
             if (server.isRehearsal(http)) {
                 answer(Exchange.plain(HttpResponseStatus.OK, "rehearsed"), keepAlive);
                 return;
@@ -246,6 +250,12 @@
         answer(response, HttpUtil.isKeepAlive(http) && !head);
     }
 
+    private FullHttpResponse metrics(FullHttpRequest http) {
+        return http.method().equals(HttpMethod.GET)
+                ? Exchange.plain(HttpResponseStatus.OK, server.metrics())
+                : bad(new BadRequest(HttpResponseStatus.METHOD_NOT_ALLOWED, "use GET"));
+    }
+
     private FullHttpResponse ready(FullHttpRequest http) {
         if (!http.method().equals(HttpMethod.GET)) {
             return bad(new BadRequest(HttpResponseStatus.METHOD_NOT_ALLOWED, "use GET"));
--- a/src/main/java/cedarrelay/node/ClientRequest.java
+++ b/src/main/java/cedarrelay/node/ClientRequest.java
@@ -63,6 +63,10 @@
             settings.tenants.forEach(t -> tenants.put(t.name(), tenants.size()));
         }
 
+        boolean isClass(String name) {
+            return classes.containsKey(name);
+        }
+
         ClientRequest read(FullHttpRequest http) throws BadRequest {
             HttpHeaders headers = http.headers();
             Integer classIndex = classes.get(className(http.uri()));
--- a/src/main/java/cedarrelay/node/ClientServer.java
+++ b/src/main/java/cedarrelay/node/ClientServer.java
@@ -27,6 +27,7 @@
 
 /** The client side as a whole: which connections are accepted, kept and closed. */
 final class ClientServer {
+    private static final String METRICS = "/metrics";
     private static final int BACKLOG = 1_024;
     /** Connections accepted in one turn of the loop: with few, slow turns leave them waiting for several of
      * them; but the count of sockets may pass its bound by as many. */
@@ -47,6 +48,7 @@
     private final Stall stall;
     private final ClientRequest.Reader reader;
     private final Consumer<Exchange> taker;
+    private final Metrics metrics;
     private final InHand inHand = InHand.partOfHeap();
     /** Open connections that have sent a whole request; those heard from most recently last. */
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
@@ -60,8 +62,9 @@
     private boolean closing;
 
     ClientServer(EventLoop loop, Sockets sockets, Stall stall, ClientRequest.Reader reader,
-            Consumer<Exchange> taker) {
+            Consumer<Exchange> taker, Metrics metrics) {
         this.loop = loop;
+        this.metrics = metrics;
         this.sockets = sockets;
         this.stall = stall;
         this.reader = reader;
@@ -174,6 +177,15 @@
         return rehearsal != null && rehearsal.equals(http.headers().get(Rehearsal.HEADER));
     }
 
+    /** The node's counters, unless a class of requests goes by the same path. */
+    String metrics() {
+        return metrics.render();
+    }
+
+    boolean isMetrics(FullHttpRequest http) {
+        return http.uri().equals(METRICS) && !reader.isClass(METRICS.substring(1));
+    }
+
     ClientRequest read(FullHttpRequest http) throws BadRequest {
         return reader.read(http);
     }
--- a/src/main/java/cedarrelay/node/Main.java
+++ b/src/main/java/cedarrelay/node/Main.java
@@ -42,9 +42,14 @@
             rehearse();
             return;
         }
+        Map<String, String> environment = System.getenv();
+        try {
+            Logging.setUp(environment);
+        } catch (IllegalArgumentException e) {
+            exit("bad configuration: " + e.getMessage(), BAD_CONFIG);
+        }
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, PunctualIo.newFactory());
         EventLoop loop = group.next();
-        Map<String, String> environment = System.getenv();
         Node[] node = new Node[1];
         // First of all: unhandled, the signal ends the program. The loop reads the file after the start.
         Hangup.handle(() -> loop.execute(() -> reload(node[0], environment)));
--- a/src/main/java/cedarrelay/node/Node.java
+++ b/src/main/java/cedarrelay/node/Node.java
@@ -8,12 +8,14 @@
 import java.util.Collections;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HexFormat;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 import cedarrelay.Balancer;
 import cedarrelay.Balancer.ListKind;
@@ -22,7 +24,10 @@
 import cedarrelay.Balancer.RequestClass;
 import cedarrelay.Balancer.Result;
 import cedarrelay.Balancer.ServerEntry;
+import cedarrelay.Balancer.ServerState;
 import cedarrelay.ServiceQBalancer;
+import cedarrelay.node.Metrics.Counter;
+import cedarrelay.node.Metrics.Peak;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoop;
@@ -63,6 +68,10 @@
     private static final long STOP_SLACK_MS = 5_000;
     /** Some seconds of requests at a node that is busy, far longer than a copy takes to come. */
     private static final int MOST_OVER = 4_096;
+    /** So many servers that leave are named in a line of the log. */
+    private static final int NAMED_SERVERS = 12;
+    /** From this on a time between decision and send, or a lag, is worth a line of the log. */
+    private static final long NOTABLE_MS = 100;
     /** A rehearsal cut short is better than a node that stays away: a slow machine gets this far. */
     private static final long REHEARSE_MS = 1_500;
 
@@ -74,6 +83,8 @@
     private final Discovery discovery;
     private final ClientServer clients;
     private final Stall stall;
+    private final Metrics metrics = new Metrics();
+    private final long startedNs = System.nanoTime();
     private final long originNs = System.nanoTime();
     /** The clock starts at Unix time and then only follows the monotonic one, so that a list's boot times
      * always convert to the same value: a second one would look like a second start. */
@@ -96,6 +107,8 @@
     private boolean rehearsalOver;
     private boolean listInUse;
     private boolean catchingUp;
+    private boolean watchFailing;
+    private long listVersion;
     private long watchAgainMs = WATCH_AGAIN_MS;
     private Runnable sayReady;
     private ScheduledFuture<?> wake;
@@ -154,6 +167,7 @@
     private final class Sent implements ServerPool.Caller {
         private final Held request;
         private final int number;
+        private final String serverId;
         private final long sentUs;
         private final long untilUs;
         private final long sendByUs;
@@ -163,9 +177,10 @@
         private long stallUs;
         private boolean over;
 
-        Sent(Held request, int number, long sentUs, long untilUs, long sendByUs) {
+        Sent(Held request, int number, String serverId, long sentUs, long untilUs, long sendByUs) {
             this.request = request;
             this.number = number;
+            this.serverId = serverId;
             this.sentUs = sentUs;
             this.untilUs = untilUs;
             this.sendByUs = sendByUs;
@@ -180,6 +195,8 @@
         public FullHttpRequest message() {
             // Sent late for want of a connection: what the loop was behind by then is not the server's.
             stallUs = Math.min(stall.us(), nowUs() - sentUs);
+            metrics.count(Counter.ATTEMPTS_WRITTEN);
+            noteDelay(this);
             return request.exchange.request().forServer(untilUs - nowUs());
         }
 
@@ -195,10 +212,16 @@
             }
             if (result == Result.OK && !request.over) {
                 request.exchange.served(answer);
+                closed(request, Counter.REQUESTS_SERVED, "served by " + serverId);
                 request.end();
             }
             request.forgetIfDone();
             long tookUs = nowUs() - sentUs;
+            if (result == Result.MOOT) {
+                metrics.count(Counter.ATTEMPTS_NOT_SENT);
+            }
+            LOG.log(Level.DEBUG, () -> "request " + hex(request.id) + " attempt " + number + " at " + serverId
+                    + " ended " + result + " after " + tookUs / 1_000 + " ms");
             stallUs = Math.min(stallUs + stall.us(), tookUs);
             enter(request, () -> balancer.onOutcome(nowUs(),
                     new Outcome(request.id, number, result, tookUs, request.over, null, stallUs)));
@@ -216,7 +239,7 @@
         pool = new ServerPool(loop, sockets, config.settings().connectTimeoutUs, config.connIdleUs(),
                 ServerPool.REST_US);
         clients = new ClientServer(loop, sockets, stall, new ClientRequest.Reader(config.settings()),
-                this::take);
+                this::take, metrics);
         discovery = new Discovery(loop, config.discovery(), config.known().revision(),
                 config.settings().listOnRequest ? Discovery.SILENT_MS : Discovery.BEGUN_MS,
                 Discovery.SILENT_MS, this);
@@ -236,7 +259,9 @@
             if (done.isSuccess()) {
                 // Also because a first line needs files of the runtime: out of descriptors it would throw an
                 // Error, in the loop, where nothing but the log would catch it.
-                LOG.log(Level.INFO, "listening on {0}", binding.channel().localAddress());
+                LOG.log(Level.INFO, "listening on {0}, seed {1}, known list {2} of {3} servers",
+                        binding.channel().localAddress(), Long.toHexString(config.seed()),
+                        Long.toString(config.known().revision()), config.known().targets().size());
                 stall.watch();
                 String token = Long.toHexString(new SplittableRandom(config.seed()).nextLong());
                 clients.setRehearsal(token);
@@ -264,6 +289,8 @@
 
     private void checkReady() {
         if (rehearsalOver && listInUse) {
+            LOG.log(Level.INFO, "ready after {0} ms",
+                    Long.toString(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNs)));
             clients.setReady();
             sayReady.run();
         }
@@ -304,6 +331,7 @@
 
     /** Stops taking requests after a while and runs {@code done} as soon as all are answered. */
     void stop(Runnable done) {
+        LOG.log(Level.INFO, "stopping with {0} requests in hand", held.size());
         clients.drain();
         loop.schedule(() -> {
             clients.stopAccepting();
@@ -313,6 +341,7 @@
 
     private void runWhenDone(Runnable done) {
         if (clients.closeResting()) {
+            LOG.log(Level.INFO, "stopped: {0}", metrics.summary());
             done.run();
         } else {
             loop.schedule(() -> runWhenDone(done), DONE_CHECK_MS, TimeUnit.MILLISECONDS);
@@ -337,6 +366,7 @@
      * only after the call that caused it.
      */
     private void enter(Held touches, Runnable call) {
+        metrics.observe(Peak.LOOP_LAG_MS, stall.us() / 1_000);
         if (!inCall && !catchingUp && stall.us() > BEHIND_US) {
             // A change of the list may lie unread behind what is read first.
             catchingUp = true;
@@ -383,6 +413,9 @@
         Held taken = new Held(exchange,
                 arrivedUs + leftUs - Math.min(ANSWER_MARGIN_US, leftUs / ANSWER_MARGIN_PART));
         held.put(request.id(), taken);
+        metrics.count(Counter.REQUESTS_TAKEN);
+        LOG.log(Level.DEBUG, () -> "request " + hex(request.id()) + " taken, class " + request.classIndex()
+                + ", " + leftUs / 1_000 + " ms left");
         taken.guard = at(arrivedUs + request.remainingUs(), () -> expire(taken));
         exchange.whenGone(() -> leave(taken));
         enter(taken, () -> {
@@ -394,6 +427,7 @@
     }
 
     private void leave(Held left) {
+        closed(left, Counter.REQUESTS_ABANDONED, "left by its client");
         left.end();
         enter(left, () -> balancer.onClientGone(nowUs(), left.id));
     }
@@ -401,7 +435,7 @@
     /** The client's time is up and the module has said nothing: no request may stay without an answer. */
     private void expire(Held late) {
         if (!late.over) {
-            LOG.log(Level.WARNING, "a request ran out of time unanswered");
+            LOG.log(Level.WARNING, "request {0} ran out of time unanswered", hex(late.id));
             fail(late, HttpResponseStatus.GATEWAY_TIMEOUT, "out of time");
             enter(late, () -> balancer.onClientGone(nowUs(), late.id));
         }
@@ -410,6 +444,7 @@
     private void fail(Held request, HttpResponseStatus status, String reason) {
         if (!request.over) {
             request.exchange.failed(status, reason);
+            closed(request, Counter.REQUESTS_FAILED, reason);
             request.end();
         }
     }
@@ -420,12 +455,16 @@
     public void send(long requestId, String serverId, long untilUs, long sendByUs) {
         Held request = held.get(requestId);
         if (request == null) {
-            LOG.log(Level.ERROR, "the module sent a request that is not held");
+            LOG.log(Level.ERROR, "the module sent request {0}, which is not held", hex(requestId));
             return;
         }
         long now = nowUs();
         long until = untilUs <= 0 ? request.deadlineUs : Math.min(untilUs, request.deadlineUs);
-        Sent sent = new Sent(request, request.sent.size(), now, until, sendByUs);
+        Sent sent = new Sent(request, request.sent.size(), serverId, now, until, sendByUs);
+        metrics.count(Counter.ATTEMPTS_STARTED);
+        if (sent.number > 0) {
+            metrics.count(Counter.ATTEMPTS_RETRIED);
+        }
         request.sent.add(sent);
         request.out++;
         if (now >= until || now > sendByUs || !request.isAwaited()) {
@@ -455,6 +494,7 @@
         Held request = held.get(requestId);
         if (request != null && !request.over) {
             request.exchange.refused(retryAfterUs);
+            closed(request, Counter.REQUESTS_REFUSED, "refused");
             request.end();
         }
     }
@@ -520,6 +560,10 @@
     @Override
     public void onList(ServerList list) {
         watchAgainMs = WATCH_AGAIN_MS;
+        if (watchFailing) {
+            watchFailing = false;
+            LOG.log(Level.INFO, "the watch on the list works again");
+        }
         if (listInUse) {
             takeList(list.all() ? ListKind.FULL : ListKind.CHANGES, list);
         } else {
@@ -529,7 +573,10 @@
 
     @Override
     public void onWatchFailed(String reason) {
-        LOG.log(Level.INFO, "the watch on the list failed: {0}", reason);
+        metrics.count(Counter.WATCH_FAILURES);
+        // Once a failure: while discovery is down it is called again and again.
+        LOG.log(watchFailing ? Level.DEBUG : Level.INFO, "the watch on the list failed: {0}", reason);
+        watchFailing = true;
         enter(null, () -> balancer.onListFailed(nowUs()));
         if (!config.settings().listOnRequest) {
             loop.schedule(discovery::keepSubscribed, watchAgainMs, TimeUnit.MILLISECONDS);
@@ -544,8 +591,45 @@
                     target.state(), target.weight(), 1_000 * target.bootMs()));
         }
         enter(null, () -> {
+            noteList(kind, list);
             pool.update(list);
             balancer.onServers(nowUs(), kind, entries);
         });
     }
+
+    // ---------------------------------------------------------------- log and metrics
+
+    private static String hex(long id) {
+        return HexFormat.of().toHexDigits(id);
+    }
+
+    private void closed(Held request, Counter counter, String how) {
+        if (!request.over) {
+            metrics.count(counter);
+            LOG.log(Level.DEBUG, () -> "request " + hex(request.id) + " closed: " + how + ", after "
+                    + request.sent.size() + " attempts");
+        }
+    }
+
+    private void noteDelay(Sent sent) {
+        long delayMs = (nowUs() - sent.sentUs) / 1_000;
+        long lagMs = stall.us() / 1_000;
+        boolean slower = metrics.observe(Peak.SEND_DELAY_MS, delayMs);
+        boolean later = metrics.observe(Peak.LOOP_LAG_AT_SEND_MS, lagMs);
+        if (slower && delayMs >= NOTABLE_MS || later && lagMs >= NOTABLE_MS) {
+            LOG.log(Level.WARNING, "request {0} attempt {1} written to {2} {3} ms after its decision,"
+                    + " loop behind by {4} ms, list version {5}", hex(sent.request.id), sent.number,
+                    sent.serverId, Long.toString(delayMs), Long.toString(lagMs), Long.toString(listVersion));
+        }
+    }
+
+    private void noteList(ListKind kind, ServerList list) {
+        metrics.count(Counter.LISTS_APPLIED);
+        listVersion = list.revision();
+        String leaving = list.targets().stream().filter(t -> t.state() != ServerState.READY)
+                .limit(NAMED_SERVERS).map(t -> t.id() + " " + t.state()).collect(Collectors.joining(", "));
+        LOG.log(leaving.isEmpty() ? Level.DEBUG : Level.INFO, () -> "list " + list.revision() + " (" + kind
+                + ") of " + list.targets().size() + ", loop behind by " + stall.us() / 1_000 + " ms: "
+                + leaving);
+    }
 }
--- a/src/test/java/cedarrelay/node/MainTest.java
+++ b/src/test/java/cedarrelay/node/MainTest.java
@@ -140,6 +140,38 @@
         assertEquals(0, process.exitValue());
     }
 
+    /** Whoever is called at night must see what the node did with each request, and why. */
+    @Test
+    void theLogAndTheMetricsTellWhatBecameOfARequest() throws Exception {
+        server.script((socket, request) -> FakePeer.answer("200 OK", "", "done").run(socket, request));
+        start(Fixture.config(discovery, server), "export LB_LOG=debug && ");
+        try (Socket client = connect()) {
+            FakePeer.write(client, Fixture.request("GET", "/view", 0xabc, "", ""));
+            assertTrue(FakePeer.read(client).startsWith("HTTP/1.1 200"));
+            FakePeer.write(client, "GET /metrics HTTP/1.1\r\n\r\n");
+            String metrics = FakePeer.read(client);
+            assertTrue(metrics.contains("\ncedarrelay_requests_taken_total 1\n"), metrics);
+            assertTrue(metrics.contains("\ncedarrelay_requests_served_total 1\n"), metrics);
+            assertTrue(metrics.contains("\ncedarrelay_attempts_written_total 1\n"), metrics);
+        }
+        String said = said();
+        for (String line : List.of("request 0000000000000abc taken, class 0,",
+                "request 0000000000000abc attempt 0 at s-" + server.port() + " ended OK",
+                "request 0000000000000abc closed: served by s-" + server.port() + ", after 1 attempts")) {
+            assertTrue(said.contains(line), said);
+        }
+    }
+
+    @Test
+    void aLevelOfTheLogThatIsNoneEndsItWithOneClearLine() throws Exception {
+        run(Fixture.write(Fixture.config(discovery, server)).toString(), "export LB_LOG=loud && ");
+        assertTrue(process.waitFor(FakePeer.PATIENCE_S, TimeUnit.SECONDS));
+        assertEquals(2, process.exitValue());
+        String said = said();
+        assertTrue(said.equals("cedarrelay: bad configuration: LB_LOG is not debug, info, warning or error:"
+                + " loud\n"), said);
+    }
+
     @Test
     void sigtermWaitsForARequestWhoseClientWaitsForLong() throws Exception {
         server.script(FakePeer.SILENT);
