Hold each send to a server list that is known to be current when it is written

Cause: check, then act. Change: MembershipGate. A call's silence counts from its writing. After silence discovery is called again in 50 ms. Attempts that wait for a server that restarts are decided anew (its budget). Invariants are checked at each first byte and at each close, and counted.

--- a/src/main/java/cedarrelay/node/ClientConnection.java
+++ b/src/main/java/cedarrelay/node/ClientConnection.java
@@ -104,6 +104,9 @@
     }
 
     void close() {
+        if (channel.isActive() && !ending && unwritten == 0 && (held != null || !ahead.isEmpty())) {
+            server.closedUnanswered(channel.remoteAddress());
+        }
         channel.close();
     }
 
@@ -345,7 +348,7 @@
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (!channel.isActive() || cause instanceof IOException) {
             // It broke, or ended within a request: nothing is owed any more.
-            close();
+            channel.close();
             return;
         }
         // A fault of ours: what was taken is still owed its answer.
--- a/src/main/java/cedarrelay/node/ClientServer.java
+++ b/src/main/java/cedarrelay/node/ClientServer.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
+import cedarrelay.node.Metrics.Counter;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
@@ -186,6 +187,11 @@
         return http.uri().equals(METRICS) && !reader.isClass(METRICS.substring(1));
     }
 
+    /** A request has been read whole that its client now gets no answer to. */
+    void closedUnanswered(SocketAddress client) {
+        metrics.violated(Counter.VIOLATIONS_CLOSE_UNANSWERED, "client " + client);
+    }
+
     ClientRequest read(FullHttpRequest http) throws BadRequest {
         return reader.read(http);
     }
--- a/src/main/java/cedarrelay/node/Discovery.java
+++ b/src/main/java/cedarrelay/node/Discovery.java
@@ -41,6 +41,10 @@
     static final long BEGUN_MS = 400;
     /** So long may the pieces of a message lie apart: one cut short is never finished. */
     private static final long PIECE_MS = 250;
+    /** An answer whose first line has not come by then has nothing to tell. */
+    private static final long FIRST_LINE_NS = TimeUnit.MILLISECONDS.toNanos(100);
+    /** Reads at once, at most, to come to the end of what the system holds. */
+    private static final int MOST_READS = 256;
     /** No version is known, so that the whole list is wanted. */
     private static final long NONE = -1;
     /** A line for each of some thousand servers; past it a message is malformed. */
@@ -52,8 +56,12 @@
     interface Listener {
         void onList(ServerList list);
 
-        /** The watch could not be opened or has ended. */
-        void onWatchFailed(String reason);
+        /**
+         * The watch could not be opened or has ended.
+         *
+         * @param unreachable whether the call was refused or not answered at all in its time
+         */
+        void onWatchFailed(String reason, boolean unreachable);
     }
 
     private final EventLoop loop;
@@ -108,13 +116,17 @@
     }
 
     /**
-     * Takes in what the system holds of the watch already. For a loop that is behind: what it reads first may
-     * else be older than what the list says.
+     * Takes in all that the system holds of the watch already: what a loop that is behind reads first may
+     * else be newer than the list. Returns whether the list is as discovery has it: the watch is open,
+     * answered and read to the end of a message.
      */
-    void catchUp() {
-        if (watch != null && watch.channel != null) {
-            watch.catchUp();
+    boolean catchUp() {
+        Watch reading = watch;
+        if (reading == null || reading.channel == null) {
+            return false;
         }
+        reading.catchUp();
+        return reading == watch && reading.isCurrent();
     }
 
     /** Messages by their braces: they may be indented over several lines, and come in any pieces. */
@@ -133,8 +145,16 @@
         private final Framing framing = new Framing();
         private Channel channel;
         private ScheduledFuture<?> silence;
+        private long received;
+        private long headNs;
+        private boolean told;
         private boolean over;
 
+        boolean isCurrent() {
+            return !over && headNs != 0 && !framing.isMidMessage()
+                    && (told || System.nanoTime() - headNs > FIRST_LINE_NS);
+        }
+
         void open() {
             expectWithin(begunMs);
             NioSocketChannel fresh;
@@ -142,7 +162,7 @@
                 fresh = new NioSocketChannel();
             } catch (ChannelException e) {
                 // Out of descriptors: as good as no connection. Later, since the caller is mid-call.
-                loop.execute(() -> fail("can't be opened: " + e.getCause()));
+                loop.execute(() -> fail("can't be opened: " + e.getCause(), false));
                 return;
             }
             channel = fresh;
@@ -150,14 +170,14 @@
                     .handler(new ChannelInitializer<SocketChannel>() {
                         @Override
                         protected void initChannel(SocketChannel to) {
-                            to.pipeline().addLast(new HttpClientCodec(MAX_LINE, MAX_HEADERS, 8_192),
-                                    Watch.this, framing, new Messages());
+                            to.pipeline().addLast(new ByteCount(),
+                                    new HttpClientCodec(MAX_LINE, MAX_HEADERS, 8_192), Watch.this, framing, new Messages());
                         }
                     }).connect(address).addListener(done -> {
                         if (done.isSuccess()) {
                             ask();
                         } else {
-                            fail("can't be connected: " + done.cause());
+                            fail("can't be connected: " + done.cause(), true);
                         }
                     });
         }
@@ -168,6 +188,8 @@
             call.headers().set(HttpHeaderNames.HOST,
                     address.getAddress().getHostAddress() + ":" + address.getPort());
             channel.writeAndFlush(call);
+            // What the node itself was held up until now is no silence of discovery.
+            expectWithin(begunMs);
         }
 
         void close() {
@@ -179,12 +201,16 @@
         }
 
         private void fail(String reason) {
+            fail(reason, false);
+        }
+
+        private void fail(String reason, boolean unreachable) {
             if (over) {
                 return;
             }
             close();
             watch = null;
-            listener.onWatchFailed(reason);
+            listener.onWatchFailed(reason, unreachable);
         }
 
         @Override
@@ -204,6 +230,7 @@
                     fail("answered " + head.status());
                     return;
                 }
+                headNs = System.nanoTime();
                 expectWithin(silentMs);
             }
             if (message instanceof HttpContent content) {
@@ -212,6 +239,7 @@
                     return;
                 }
                 if (content.content().isReadable()) {
+                    told = true;
                     ctx.fireChannelRead(content.content().retain());
                 }
                 if (message instanceof LastHttpContent) {
@@ -232,18 +260,31 @@
         /** A loop that is behind runs its timers first: what has come by now is no silence. */
         private void silent() {
             ScheduledFuture<?> due = silence;
-            catchUp();
+            if (channel != null) {
+                catchUp();
+            }
             if (silence == due) {
-                fail("silent");
+                fail("silent", headNs == 0);
             }
         }
 
         private void catchUp() {
-            if (!over && channel != null && channel.isActive()) {
+            long before = -1;
+            for (int i = 0; i < MOST_READS && before != received && !over && channel.isActive(); i++) {
+                before = received;
                 ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
             }
         }
 
+        /** Counts what comes, to tell when all has been read. */
+        private final class ByteCount extends ChannelInboundHandlerAdapter {
+            @Override
+            public void channelRead(ChannelHandlerContext ctx, Object message) {
+                received += ((ByteBuf) message).readableBytes();
+                ctx.fireChannelRead(message);
+            }
+        }
+
         /** The versions of an address only grow: one that goes back asks for the whole list as it is now. */
         private void take(ServerList list) {
             if (list.revision() < revision) {
--- a/src/main/java/cedarrelay/node/Metrics.java
+++ b/src/main/java/cedarrelay/node/Metrics.java
@@ -1,5 +1,7 @@
 package cedarrelay.node;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.Locale;
 import java.util.StringJoiner;
 
@@ -20,7 +22,14 @@
         ATTEMPTS_NOT_SENT("Attempts dropped before their first byte, as no longer wanted or allowed."),
         ATTEMPTS_RETRIED("Attempts after the first one of a request."),
         LISTS_APPLIED("Messages of discovery taken into the server list."),
-        WATCH_FAILURES("Watches that could not be opened or that ended.");
+        WATCH_FAILURES("Watches that could not be opened or that ended."),
+        SENDS_HELD("Times that a send had to wait until the server list was known to be current."),
+        VIOLATIONS_STALE_LIST("Sends by a list older than the grace of a drain."),
+        VIOLATIONS_SEND_TO_DRAINING("Sends, stopped, to a server that drains or is gone."),
+        VIOLATIONS_SEND_BEFORE_LIST("Sends, stopped, before any list was in use."),
+        VIOLATIONS_SEND_PAST_END("Sends, stopped, of a request that is over or past its time or window."),
+        VIOLATIONS_REPEAT("Sends, stopped, of a request that may have run and may not run twice."),
+        VIOLATIONS_CLOSE_UNANSWERED("Connections closed by this node with a request read and unanswered.");
 
         private final String help;
 
@@ -32,6 +41,7 @@
     /** The largest value seen of something, in milliseconds. */
     enum Peak {
         LOOP_LAG_MS("Longest lag of the event loop."),
+        LIST_AGE_AT_SEND_MS("Longest time since the server list was known to be current, at a send."),
         SEND_DELAY_MS("Longest time from the decision to send to the first byte written."),
         LOOP_LAG_AT_SEND_MS("Longest lag of the event loop when a first byte was written.");
 
@@ -44,6 +54,8 @@
 
     private static final String PREFIX = "cedarrelay_";
 
+    private static final Logger LOG = System.getLogger(Metrics.class.getName());
+
     private final long[] counts = new long[Counter.values().length];
     private final long[] peaks = new long[Peak.values().length];
 
@@ -51,6 +63,12 @@
         counts[counter.ordinal()]++;
     }
 
+    /** Counts a broken invariant, which has a line of the log each time. */
+    void violated(Counter invariant, String what) {
+        count(invariant);
+        LOG.log(Level.ERROR, "invariant {0}: {1}", invariant, what);
+    }
+
     long value(Counter counter) {
         return counts[counter.ordinal()];
     }
--- a/src/main/java/cedarrelay/node/Node.java
+++ b/src/main/java/cedarrelay/node/Node.java
@@ -20,6 +20,7 @@
 import cedarrelay.Balancer;
 import cedarrelay.Balancer.ListKind;
 import cedarrelay.Balancer.Outcome;
+import cedarrelay.Balancer.Repeat;
 import cedarrelay.Balancer.Request;
 import cedarrelay.Balancer.RequestClass;
 import cedarrelay.Balancer.Result;
@@ -59,8 +60,6 @@
     private static final long WATCH_AGAIN_MS = 50;
     /** Doubled with each failure in a row: still well within the time that a drain leaves. */
     private static final long MOST_WATCH_AGAIN_MS = 200;
-    /** From this on a loop is behind for long enough that a drain it has not read may be over. */
-    private static final long BEHIND_US = 100_000;
     /** Connections come for up to 0.4 s after the word to stop, and their requests just after. */
     private static final long ACCEPT_WHILE_STOPPING_MS = 600;
     private static final long DONE_CHECK_MS = 10;
@@ -68,6 +67,8 @@
     private static final long STOP_SLACK_MS = 5_000;
     /** Some seconds of requests at a node that is busy, far longer than a copy takes to come. */
     private static final int MOST_OVER = 4_096;
+    /** How long the process may be held up between its clock and its write. */
+    private static final long HELD_UP_US = 150_000;
     /** So many servers that leave are named in a line of the log. */
     private static final int NAMED_SERVERS = 12;
     /** From this on a time between decision and send, or a lag, is worth a line of the log. */
@@ -80,6 +81,7 @@
     private final Balancer balancer;
     private final Sockets sockets;
     private final ServerPool pool;
+    private final MembershipGate gate;
     private final Discovery discovery;
     private final ClientServer clients;
     private final Stall stall;
@@ -106,7 +108,6 @@
     private boolean rehearsing;
     private boolean rehearsalOver;
     private boolean listInUse;
-    private boolean catchingUp;
     private boolean watchFailing;
     private long listVersion;
     private long watchAgainMs = WATCH_AGAIN_MS;
@@ -175,6 +176,7 @@
         private ScheduledFuture<?> timer;
         private ScheduledFuture<?> sendTimer;
         private long stallUs;
+        private Result result;
         private boolean over;
 
         Sent(Held request, int number, String serverId, long sentUs, long untilUs, long sendByUs) {
@@ -188,7 +190,7 @@
 
         @Override
         public boolean isWanted() {
-            return nowUs() <= sendByUs && request.isAwaited();
+            return nowUs() < untilUs && nowUs() <= sendByUs && request.isAwaited();
         }
 
         @Override
@@ -197,12 +199,42 @@
             stallUs = Math.min(stall.us(), nowUs() - sentUs);
             metrics.count(Counter.ATTEMPTS_WRITTEN);
             noteDelay(this);
+            checkInvariants();
             return request.exchange.request().forServer(untilUs - nowUs());
         }
 
+        /** What must hold at each first byte; whatever decided on it has checked the same before. */
+        private void checkInvariants() {
+            if (rehearsing) {
+                return;
+            }
+            String what = "request " + hex(request.id) + " attempt " + number + " to " + serverId;
+            if (!listInUse) {
+                metrics.violated(Counter.VIOLATIONS_SEND_BEFORE_LIST, what);
+            }
+            if (!pool.admits(serverId)) {
+                metrics.violated(Counter.VIOLATIONS_SEND_TO_DRAINING, what);
+            }
+            long now = nowUs();
+            if (request.over || now - untilUs > HELD_UP_US || now - sendByUs > HELD_UP_US) {
+                metrics.violated(Counter.VIOLATIONS_SEND_PAST_END, what);
+            }
+            if (mayRunTwice()) {
+                metrics.violated(Counter.VIOLATIONS_REPEAT, what);
+            }
+        }
+
+        /** Whether an earlier attempt is out, or may have run though the class may not be repeated. */
+        private boolean mayRunTwice() {
+            Repeat repeat = config.settings().classes.get(request.exchange.request().classIndex()).repeat();
+            return repeat != Repeat.SAFE && request.sent.stream().limit(number).anyMatch(earlier ->
+                    earlier.result == null || repeat == Repeat.UNSAFE && !earlier.result.neverRan);
+        }
+
         @Override
         public void ended(Result result, Answer answer) {
             over = true;
+            this.result = result;
             request.out--;
             if (timer != null) {
                 timer.cancel(false);
@@ -236,8 +268,10 @@
         balancer = new ServiceQBalancer(config.settings(), config.seed(), this);
         stall = new Stall(loop);
         sockets = new Sockets(config.sockets());
+        gate = new MembershipGate(loop, metrics, !config.settings().listOnRequest,
+                config.settings().drainGraceUs, this::resume);
         pool = new ServerPool(loop, sockets, config.settings().connectTimeoutUs, config.connIdleUs(),
-                ServerPool.REST_US);
+                ServerPool.REST_US, gate::mayWrite);
         clients = new ClientServer(loop, sockets, stall, new ClientRequest.Reader(config.settings()),
                 this::take, metrics);
         discovery = new Discovery(loop, config.discovery(), config.known().revision(),
@@ -281,6 +315,7 @@
      */
     private void begin(ListKind kind, ServerList list) {
         if (!listInUse) {
+            gate.watch(discovery);
             takeList(kind, list);
             listInUse = true;
             checkReady();
@@ -367,11 +402,9 @@
      */
     private void enter(Held touches, Runnable call) {
         metrics.observe(Peak.LOOP_LAG_MS, stall.us() / 1_000);
-        if (!inCall && !catchingUp && stall.us() > BEHIND_US) {
+        if (!inCall) {
             // A change of the list may lie unread behind what is read first.
-            catchingUp = true;
-            discovery.catchUp();
-            catchingUp = false;
+            gate.refresh();
         }
         events.add(new Event(touches, call));
         if (inCall) {
@@ -550,6 +583,11 @@
         }
     }
 
+    private void resume() {
+        // Within an event, so that what comes of it is reported after it.
+        enter(null, pool::resume);
+    }
+
     @Override
     public void log(String line) {
         LOG.log(Level.INFO, line);
@@ -564,6 +602,7 @@
             watchFailing = false;
             LOG.log(Level.INFO, "the watch on the list works again");
         }
+        gate.proven();
         if (listInUse) {
             takeList(list.all() ? ListKind.FULL : ListKind.CHANGES, list);
         } else {
@@ -572,14 +611,19 @@
     }
 
     @Override
-    public void onWatchFailed(String reason) {
+    public void onWatchFailed(String reason, boolean unreachable) {
+        if (unreachable) {
+            gate.proven();
+        }
         metrics.count(Counter.WATCH_FAILURES);
         // Once a failure: while discovery is down it is called again and again.
         LOG.log(watchFailing ? Level.DEBUG : Level.INFO, "the watch on the list failed: {0}", reason);
         watchFailing = true;
         enter(null, () -> balancer.onListFailed(nowUs()));
         if (!config.settings().listOnRequest) {
-            loop.schedule(discovery::keepSubscribed, watchAgainMs, TimeUnit.MILLISECONDS);
+            // After silence at once, for what is told when it ends counts at once.
+            loop.schedule(discovery::keepSubscribed, unreachable ? WATCH_AGAIN_MS : watchAgainMs,
+                    TimeUnit.MILLISECONDS);
             watchAgainMs = Math.min(MOST_WATCH_AGAIN_MS, 2 * watchAgainMs);
         }
     }
@@ -590,7 +634,9 @@
             entries.add(new ServerEntry(target.id(), zones.getOrDefault(target.zone(), -1), target.cell(),
                     target.state(), target.weight(), 1_000 * target.bootMs()));
         }
+        gate.listPending();
         enter(null, () -> {
+            gate.listTaken();
             noteList(kind, list);
             pool.update(list);
             balancer.onServers(nowUs(), kind, entries);
--- a/src/main/java/cedarrelay/node/ServerPool.java
+++ b/src/main/java/cedarrelay/node/ServerPool.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 import cedarrelay.Balancer.Result;
 import cedarrelay.Balancer.ServerState;
@@ -146,9 +147,21 @@
     private final long restNs;
     private final ScheduledFuture<?> sweeper;
     private final Map<String, Server> servers = new HashMap<>();
+    private final BooleanSupplier mayWrite;
 
+    /** A pool that may write at any time. */
     ServerPool(EventLoop loop, Sockets sockets, long dialTimeoutUs, long connIdleUs, long restUs) {
+        this(loop, sockets, dialTimeoutUs, connIdleUs, restUs, () -> true);
+    }
+
+    /**
+     * A pool that asks before each first byte whether it may be written now; what may not waits for
+     * {@link #resume}. The question may bring a new list, and so call this pool.
+     */
+    ServerPool(EventLoop loop, Sockets sockets, long dialTimeoutUs, long connIdleUs, long restUs,
+            BooleanSupplier mayWrite) {
         this.loop = loop;
+        this.mayWrite = mayWrite;
         this.sockets = sockets;
         restNs = TimeUnit.MICROSECONDS.toNanos(restUs);
         // A request written to a connection that the server is just closing may have run for all we know.
@@ -169,6 +182,12 @@
         }
     }
 
+    /** Whether the list lets this server be sent anything new. */
+    boolean admits(String serverId) {
+        Server server = servers.get(serverId);
+        return server != null && !server.gone && !server.draining;
+    }
+
     /** Takes in the list: new servers, moved ones, restarted ones and those that are gone. */
     void update(ServerList list) {
         Set<String> named = new HashSet<>();
@@ -185,6 +204,10 @@
                 server.generation++;
                 server.dialing = 0;
                 closeIdle(server);
+                if (restarted) {
+                    // Decided for the process before: the new one may take far less, so decide anew.
+                    endWaiting(server);
+                }
                 // Those that wait were dialling the old address.
                 for (int i = server.waiting.size(); i > 0; i--) {
                     dial(server);
@@ -201,13 +224,18 @@
 
     /** Starts an attempt; it may be reported before this returns. */
     Attempt start(String serverId, Caller caller) {
+        boolean now = mayWrite.getAsBoolean();
         Server server = servers.get(serverId);
         Attempt attempt = new Attempt(server, caller);
         if (server == null) {
             attempt.end(Result.CONNECT_FAILED, null);
             return attempt;
         }
-        Connection connection = takeIdle(server);
+        if (server.draining) {
+            attempt.end(Result.MOOT, null);
+            return attempt;
+        }
+        Connection connection = now ? takeIdle(server) : null;
         if (connection != null) {
             connection.send(attempt);
         } else {
@@ -229,8 +257,20 @@
         }
     }
 
+    /** Sends what had to wait until writing is allowed. */
+    void resume() {
+        for (Server server : new ArrayList<>(servers.values())) {
+            for (int i = server.waiting.size(); i > 0 && !server.idle.isEmpty(); i--) {
+                sendRested(server);
+            }
+        }
+    }
+
     private void sendRested(Server server) {
         server.timed = false;
+        if (!mayWrite.getAsBoolean()) {
+            return;
+        }
         Connection connection = server.waiting.isEmpty() ? null : takeIdle(server);
         if (connection != null) {
             connection.park();
@@ -373,11 +413,12 @@
 
         /** Carries the first attempt in line, or waits for one. */
         void park() {
+            boolean now = mayWrite.getAsBoolean();
             if (generation != server.generation || !isQuiet()) {
                 channel.close();
                 return;
             }
-            Attempt next = server.waiting.poll();
+            Attempt next = now ? server.waiting.poll() : null;
             while (next != null && !next.caller.isWanted()) {
                 next.end(Result.MOOT, null);
                 next = server.waiting.poll();
--- a/src/test/java/cedarrelay/node/HeldUpProcessTest.java
+++ b/src/test/java/cedarrelay/node/HeldUpProcessTest.java
@@ -26,8 +26,8 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * A node whose process is held up (SIGSTOP) for longer than the grace of a drain: what discovery's agent has told
- * by the time it runs on binds everything that it sends from then on.
+ * A node whose process is held up (SIGSTOP) for longer than the grace of a drain: what discovery's agent
+ * has told by the time it runs on binds everything that it sends from then on.
  */
 @Timeout(120)
 class HeldUpProcessTest {
@@ -117,7 +117,8 @@
         String entry(String state) {
             return """
                     {"uid":"s-late","endpoint":"127.0.0.1:%d","az":"a","model":"m","pod_group":3,\
-                    "state":"%s","capacity_hint":1.0,"boot_ms":0}""".formatted(listening.getLocalPort(), state);
+                    "state":"%s","capacity_hint":1.0,"boot_ms":0}"""
+                    .formatted(listening.getLocalPort(), state);
         }
 
         @Override
@@ -130,7 +131,8 @@
     }
 
     private static String message(int revision, boolean all, String... entries) {
-        return "{\"rev\":" + revision + ",\"all\":" + all + ",\"targets\":[" + String.join(",", entries) + "]}";
+        return "{\"rev\":" + revision + ",\"all\":" + all + ",\"targets\":["
+                + String.join(",", entries) + "]}";
     }
 
     /** Servers that have gone: they change nothing, and take long to read. */
--- a/src/test/java/cedarrelay/node/NodeProcess.java
+++ b/src/test/java/cedarrelay/node/NodeProcess.java
@@ -23,7 +23,8 @@
     NodeProcess(JsonObject config, int port, Path log, Map<String, String> environment) throws IOException {
         this.port = port;
         config.addProperty("listen", "127.0.0.1:" + port);
-        String classes = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
+        String classes = System.getProperty("surefire.test.class.path",
+                System.getProperty("java.class.path"));
         ProcessBuilder builder = new ProcessBuilder(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1", "-Xmx64m", "-cp", classes, "cedarrelay.node.Main");
