--- a/src/main/java/cedarrelay/node/Discovery.java
+++ b/src/main/java/cedarrelay/node/Discovery.java
@@ -171,7 +171,8 @@
                         @Override
                         protected void initChannel(SocketChannel to) {
                             to.pipeline().addLast(new ByteCount(),
-                                    new HttpClientCodec(MAX_LINE, MAX_HEADERS, 8_192), Watch.this, framing, new Messages());
+                                    new HttpClientCodec(MAX_LINE, MAX_HEADERS, 8_192), Watch.this, framing,
+                                    new Messages());
                         }
                     }).connect(address).addListener(done -> {
                         if (done.isSuccess()) {
