--- a/src/main/java/cedarrelay/node/Discovery.java
+++ b/src/main/java/cedarrelay/node/Discovery.java
@@ -41,6 +41,10 @@
     static final long BEGUN_MS = 400;
     /** So long may the pieces of a message lie apart: one cut short is never finished. */
     private static final long PIECE_MS = 250;
+    /** How long a call is waited for while discovery is silent: it may answer again at any moment. */
+    private static final long BEGUN_AGAIN_MS = 150;
+    /** One call in so many is waited for as long as the first: discovery may just be slow. */
+    private static final int PATIENT_CALL = 4;
     /** An answer whose first line has not come by then has nothing to tell. */
     private static final long FIRST_LINE_NS = TimeUnit.MILLISECONDS.toNanos(100);
     /** Reads at once, at most, to come to the end of what the system holds. */
@@ -56,12 +60,14 @@
     interface Listener {
         void onList(ServerList list);
 
+        /** The watch could not be opened or has ended. */
+        void onWatchFailed(String reason);
+
         /**
-         * The watch could not be opened or has ended.
-         *
-         * @param unreachable whether the call was refused or not answered at all in its time
+         * Discovery was not there for a call: it had nothing to tell at the time of the call, by
+         * {@link System#nanoTime}. Comes right before that call's failure.
          */
-        void onWatchFailed(String reason, boolean unreachable);
+        default void onSilence(long asOfNs) { }
     }
 
     private final EventLoop loop;
@@ -70,6 +76,7 @@
     private final long begunMs;
     private final long silentMs;
     private long revision;
+    private int silentCalls;
     private Watch watch;
 
     /** The answer to a call has to begin within {@code begunMs}, and then to go on each {@code silentMs}. */
@@ -146,23 +153,27 @@
         private Channel channel;
         private ScheduledFuture<?> silence;
         private long received;
+        private final long patienceMs = silentCalls % PATIENT_CALL == 0 ? begunMs
+                : Math.min(begunMs, BEGUN_AGAIN_MS);
+        private long calledNs = System.nanoTime();
         private long headNs;
         private boolean told;
         private boolean over;
 
         boolean isCurrent() {
-            return !over && headNs != 0 && !framing.isMidMessage()
+            // A connection whose end has just been read is reported only by a later task.
+            return !over && channel.isActive() && headNs != 0 && !framing.isMidMessage()
                     && (told || System.nanoTime() - headNs > FIRST_LINE_NS);
         }
 
         void open() {
-            expectWithin(begunMs);
+            expectWithin(patienceMs);
             NioSocketChannel fresh;
             try {
                 fresh = new NioSocketChannel();
             } catch (ChannelException e) {
                 // Out of descriptors: as good as no connection. Later, since the caller is mid-call.
-                loop.execute(() -> fail("can't be opened: " + e.getCause(), false));
+                loop.execute(() -> fail("can't be opened: " + e.getCause()));
                 return;
             }
             channel = fresh;
@@ -178,7 +189,8 @@
                         if (done.isSuccess()) {
                             ask();
                         } else {
-                            fail("can't be connected: " + done.cause(), true);
+                            listener.onSilence(calledNs);
+                            fail("can't be connected: " + done.cause());
                         }
                     });
         }
@@ -190,7 +202,8 @@
                     address.getAddress().getHostAddress() + ":" + address.getPort());
             channel.writeAndFlush(call);
             // What the node itself was held up until now is no silence of discovery.
-            expectWithin(begunMs);
+            calledNs = System.nanoTime();
+            expectWithin(BEGUN_AGAIN_MS);
         }
 
         void close() {
@@ -202,16 +215,12 @@
         }
 
         private void fail(String reason) {
-            fail(reason, false);
-        }
-
-        private void fail(String reason, boolean unreachable) {
             if (over) {
                 return;
             }
             close();
             watch = null;
-            listener.onWatchFailed(reason, unreachable);
+            listener.onWatchFailed(reason);
         }
 
         @Override
@@ -232,6 +241,7 @@
                     return;
                 }
                 headNs = System.nanoTime();
+                silentCalls = 0;
                 expectWithin(silentMs);
             }
             if (message instanceof HttpContent content) {
@@ -265,7 +275,17 @@
                 catchUp();
             }
             if (silence == due) {
-                fail("silent", headNs == 0);
+                if (headNs == 0) {
+                    // However late this comes: discovery was not there when it was called.
+                    listener.onSilence(calledNs);
+                }
+                long waitedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - calledNs);
+                if (headNs == 0 && waitedMs < patienceMs) {
+                    expectWithin(patienceMs - waitedMs);
+                    return;
+                }
+                silentCalls += headNs == 0 ? 1 : 0;
+                fail("silent");
             }
         }
 
--- a/src/main/java/cedarrelay/node/MembershipGate.java
+++ b/src/main/java/cedarrelay/node/MembershipGate.java
@@ -1,6 +1,9 @@
 package cedarrelay.node;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 import cedarrelay.node.Metrics.Counter;
 import cedarrelay.node.Metrics.Peak;
@@ -23,10 +26,13 @@
     /** What is kept of a drain's grace for a process that is held up between its clock and its write. */
     private static final long KEPT_OF_GRACE_US = 100_000;
     /** A hold ends after so long whatever discovery does: an unanswered call is given up sooner. */
-    private static final long MOST_HELD_MS = 600;
+    private static final long MOST_HELD_MS = 1_000;
+
+    private static final Logger LOG = System.getLogger(MembershipGate.class.getName());
 
     private final EventLoop loop;
     private final Metrics metrics;
+    private final LongSupplier lagUs;
     private final long mostAgeNs;
     private final long graceNs;
     private final Runnable resume;
@@ -35,17 +41,20 @@
     private int listsPending;
     private boolean held;
     private boolean forced;
-    private long heldSinceNs;
+    private int holds;
 
     /**
      * A gate that is open until {@link #watch}.
      *
      * @param pushed whether what discovery's agent has counts as told at once
      * @param graceUs how long a server may still be sent requests after its drain is told, in microseconds
+     * @param lagUs how far the event loop is behind, in microseconds
      * @param resume sends what was held
      */
-    MembershipGate(EventLoop loop, Metrics metrics, boolean pushed, long graceUs, Runnable resume) {
+    MembershipGate(EventLoop loop, Metrics metrics, boolean pushed, long graceUs, LongSupplier lagUs,
+            Runnable resume) {
         this.loop = loop;
+        this.lagUs = lagUs;
         this.metrics = metrics;
         this.resume = resume;
         graceNs = pushed ? TimeUnit.MICROSECONDS.toNanos(graceUs) : Long.MAX_VALUE;
@@ -56,7 +65,6 @@
     /** From now on the list is one that this tells of. */
     void watch(Discovery source) {
         discovery = source;
-        proven();
     }
 
     /** Reads what discovery has told, unless that was done just now: before a decision, and before a send. */
@@ -73,8 +81,9 @@
         }
         refresh();
         long ageNs = System.nanoTime() - provenNs;
-        boolean current = listsPending == 0 && ageNs <= mostAgeNs;
-        if (!current && !forced) {
+        // What was let pass before the process was held up says nothing of what was told meanwhile.
+        forced &= lagUs.getAsLong() < KEPT_OF_GRACE_US;
+        if (!isCurrent() && !forced) {
             hold();
             return false;
         }
@@ -87,8 +96,15 @@
 
     /** The list is known to be as discovery's agent has it. */
     void proven() {
-        provenNs = System.nanoTime();
-        release();
+        proven(System.nanoTime());
+    }
+
+    /** It was as discovery's agent had it, or discovery had nothing to tell, at this time. */
+    void proven(long asOfNs) {
+        if (asOfNs - provenNs > 0) {
+            provenNs = asOfNs;
+            release();
+        }
     }
 
     /** A message has been read that the decision module will be told of after its present call. */
@@ -105,21 +121,39 @@
         metrics.count(Counter.SENDS_HELD);
         if (!held) {
             held = true;
-            long since = System.nanoTime();
-            heldSinceNs = since;
-            loop.schedule(() -> {
-                if (held && heldSinceNs == since) {
-                    forced = true;
-                    open();
-                }
-            }, MOST_HELD_MS, TimeUnit.MILLISECONDS);
+            holds++;
+            endHoldLater(holds);
         }
     }
 
-    private void release() {
-        forced = false;
-        if (held && listsPending == 0) {
+    /** On a process held up meanwhile, the calls of discovery were too: then anew. */
+    private void endHoldLater(int hold) {
+        long dueNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MOST_HELD_MS);
+        loop.schedule(() -> {
+            if (!held || hold != holds) {
+                return;
+            }
+            if (System.nanoTime() - dueNs > FRESH_NS) {
+                endHoldLater(hold);
+                return;
+            }
+            LOG.log(Level.WARNING, "sends go by a list that has not been known to be current for {0} ms",
+                    Long.toString(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - provenNs)));
+            forced = true;
             open();
+        }, MOST_HELD_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private boolean isCurrent() {
+        return listsPending == 0 && System.nanoTime() - provenNs <= mostAgeNs;
+    }
+
+    private void release() {
+        if (isCurrent()) {
+            forced = false;
+            if (held) {
+                open();
+            }
         }
     }
 
--- a/src/main/java/cedarrelay/node/Node.java
+++ b/src/main/java/cedarrelay/node/Node.java
@@ -58,8 +58,6 @@
     private static final long PROBE_US = 250_000;
     /** A pushed list costs nothing to ask for, and what changes meanwhile counts as told. */
     private static final long WATCH_AGAIN_MS = 50;
-    /** Doubled with each failure in a row: still well within the time that a drain leaves. */
-    private static final long MOST_WATCH_AGAIN_MS = 200;
     /** Connections come for up to 0.4 s after the word to stop, and their requests just after. */
     private static final long ACCEPT_WHILE_STOPPING_MS = 600;
     private static final long DONE_CHECK_MS = 10;
@@ -110,7 +108,6 @@
     private boolean listInUse;
     private boolean watchFailing;
     private long listVersion;
-    private long watchAgainMs = WATCH_AGAIN_MS;
     private Runnable sayReady;
     private ScheduledFuture<?> wake;
 
@@ -269,7 +266,7 @@
         stall = new Stall(loop);
         sockets = new Sockets(config.sockets());
         gate = new MembershipGate(loop, metrics, !config.settings().listOnRequest,
-                config.settings().drainGraceUs, this::resume);
+                config.settings().drainGraceUs, stall::us, this::resume);
         pool = new ServerPool(loop, sockets, config.settings().connectTimeoutUs, config.connIdleUs(),
                 ServerPool.REST_US, gate::mayWrite);
         clients = new ClientServer(loop, sockets, stall, new ClientRequest.Reader(config.settings()),
@@ -285,6 +282,8 @@
      * or after {@code startMs} without a word of it.
      */
     ChannelFuture start(EventLoopGroup group, int rehearsed, long startMs, Runnable whenReady) {
+        // Before anybody can connect: what comes while the node is held up at its start has waited too.
+        stall.watch();
         discovery.subscribe();
         loop.schedule(() -> begin(ListKind.CACHED, config.known()), startMs, TimeUnit.MILLISECONDS);
         sayReady = whenReady;
@@ -296,7 +295,6 @@
                 LOG.log(Level.INFO, "listening on {0}, seed {1}, known list {2} of {3} servers",
                         binding.channel().localAddress(), Long.toHexString(config.seed()),
                         Long.toString(config.known().revision()), config.known().targets().size());
-                stall.watch();
                 String token = Long.toHexString(new SplittableRandom(config.seed()).nextLong());
                 clients.setRehearsal(token);
                 new Rehearsal(loop, config, (InetSocketAddress) binding.channel().localAddress(), token,
@@ -597,7 +595,6 @@
 
     @Override
     public void onList(ServerList list) {
-        watchAgainMs = WATCH_AGAIN_MS;
         if (watchFailing) {
             watchFailing = false;
             LOG.log(Level.INFO, "the watch on the list works again");
@@ -611,20 +608,19 @@
     }
 
     @Override
-    public void onWatchFailed(String reason, boolean unreachable) {
-        if (unreachable) {
-            gate.proven();
-        }
+    public void onSilence(long asOfNs) {
+        gate.proven(asOfNs);
+    }
+
+    @Override
+    public void onWatchFailed(String reason) {
         metrics.count(Counter.WATCH_FAILURES);
         // Once a failure: while discovery is down it is called again and again.
         LOG.log(watchFailing ? Level.DEBUG : Level.INFO, "the watch on the list failed: {0}", reason);
         watchFailing = true;
         enter(null, () -> balancer.onListFailed(nowUs()));
         if (!config.settings().listOnRequest) {
-            // After silence at once, for what is told when it ends counts at once.
-            loop.schedule(discovery::keepSubscribed, unreachable ? WATCH_AGAIN_MS : watchAgainMs,
-                    TimeUnit.MILLISECONDS);
-            watchAgainMs = Math.min(MOST_WATCH_AGAIN_MS, 2 * watchAgainMs);
+            loop.schedule(discovery::keepSubscribed, WATCH_AGAIN_MS, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/src/test/java/cedarrelay/node/DiscoveryTest.java
+++ b/src/test/java/cedarrelay/node/DiscoveryTest.java
@@ -44,7 +44,7 @@
     }
 
     @Override
-    public void onWatchFailed(String reason, boolean unreachable) {
+    public void onWatchFailed(String reason) {
         failures.add(reason);
     }
 
--- a/src/test/java/cedarrelay/node/NodeProcess.java
+++ b/src/test/java/cedarrelay/node/NodeProcess.java
@@ -57,7 +57,8 @@
         }
     }
 
-    private boolean isReady() {
+    /** Whether it says that it is ready, and listens at all. */
+    boolean isReady() {
         try {
             return get("/ready").startsWith("HTTP/1.1 200");
         } catch (IOException e) {
