Ask whether a client is still there as the last thing before its request's first byte

The look at the client came before the pool's own work (the gate, a list that it reads, the connection); it comes after it now, for sends on idle connections as for those that waited.

--- a/src/main/java/cedarrelay/node/Node.java
+++ b/src/main/java/cedarrelay/node/Node.java
@@ -498,7 +498,7 @@
         }
         request.sent.add(sent);
         request.out++;
-        if (now >= until || now > sendByUs || !request.isAwaited()) {
+        if (now >= until || now > sendByUs) {
             sent.ended(Result.MOOT, null);
             return;
         }
--- a/src/main/java/cedarrelay/node/ServerPool.java
+++ b/src/main/java/cedarrelay/node/ServerPool.java
@@ -44,7 +44,7 @@
 
     /** Who wants an attempt: what to send, and where to report. */
     interface Caller {
-        /** Whether it is still to go out, asked right before, once it has waited for its connection. */
+        /** Whether it is still to go out, asked right before its first byte. */
         default boolean isWanted() {
             return true;
         }
@@ -236,7 +236,10 @@
             return attempt;
         }
         Connection connection = now ? takeIdle(server) : null;
-        if (connection != null) {
+        if (connection != null && !caller.isWanted()) {
+            server.idle.push(connection);
+            attempt.end(Result.MOOT, null);
+        } else if (connection != null) {
             connection.send(attempt);
         } else {
             server.waiting.add(attempt);
