--- a/src/test/java/cedarrelay/node/SoakNode.java
+++ b/src/test/java/cedarrelay/node/SoakNode.java
@@ -65,8 +65,9 @@
 
     /** Holds the process up for so long. */
     synchronized void holdUp(long ms) throws Exception {
-        long fromNs = System.nanoTime();
         process.signal("STOP");
+        // The process has stood still since some milliseconds before this.
+        long fromNs = System.nanoTime();
         try {
             TimeUnit.MILLISECONDS.sleep(ms);
         } finally {
