--- a/src/main/java/cedarrelay/node/Node.java
+++ b/src/main/java/cedarrelay/node/Node.java
@@ -285,7 +285,11 @@
         // Before anybody can connect: what comes while the node is held up at its start has waited too.
         stall.watch();
         discovery.subscribe();
-        loop.schedule(() -> begin(ListKind.CACHED, config.known()), startMs, TimeUnit.MILLISECONDS);
+        loop.schedule(() -> {
+            // On a loop that is behind the answer may lie unread.
+            discovery.catchUp();
+            begin(ListKind.CACHED, config.known());
+        }, startMs, TimeUnit.MILLISECONDS);
         sayReady = whenReady;
         ChannelFuture binding = clients.listen(group, config.listen());
         binding.addListener(done -> {
--- a/src/test/java/cedarrelay/node/HeldUpProcessTest.java
+++ b/src/test/java/cedarrelay/node/HeldUpProcessTest.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 import com.google.gson.JsonObject;
 import org.junit.jupiter.api.AfterEach;
@@ -33,6 +34,8 @@
 class HeldUpProcessTest {
     /** Longer than the grace of the fixture's settings, 500 ms, and its slack of 50 ms. */
     private static final int PAST_GRACE_MS = 700;
+    /** Longer than a node waits for discovery before it goes by the list that it knows. */
+    private static final int FAILING_MS = 2_200;
     /** So many servers in a message that a node can't read at once. */
     private static final int MANY = 1_500;
 
@@ -175,6 +178,33 @@
         }
     }
 
+    /** What discovery's agent has counts as told from the start, however many calls fail at first. */
+    @Test
+    void aNodeThatStartsWhileCallsFailSendsNothingByItsKnownList() throws Exception {
+        JsonObject config = Fixture.config(discovery, drains);
+        config.getAsJsonObject("settings").addProperty("membershipMode", "pushed");
+        AtomicLong firstNs = new AtomicLong();
+        discovery.script((socket, call) -> {
+            firstNs.compareAndSet(0, System.nanoTime());
+            if (System.nanoTime() - firstNs.get() < TimeUnit.MILLISECONDS.toNanos(FAILING_MS)) {
+                FakePeer.RESET.run(socket, call);
+            } else {
+                Fixture.beginWatch(socket);
+                Fixture.line(socket, drainAndJoin());
+            }
+        });
+        Path log = Files.createTempFile("node", ".log");
+        log.toFile().deleteOnExit();
+        node = new NodeProcess(config, NodeProcess.freePort(), log, Map.of());
+        node.awaitReady();
+        try (Socket client = node.connect()) {
+            FakePeer.write(client, Fixture.request("GET", "/view", 1, "", ""));
+            String answer = FakePeer.read(client);
+            assertTrue(drains.requests.isEmpty(), "sent to a server that drains");
+            assertTrue(answer != null && answer.startsWith("HTTP/1.1 200"), answer);
+        }
+    }
+
     /** The watch breaks while the process is held up: whatever it missed counts as told all the same. */
     @Test
     void aRequestThatComesWhileTheWatchIsBrokenWaitsForTheList() throws Exception {
