--- a/review/src/CrowdCase.java
+++ b/review/src/CrowdCase.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Case 2: bad clients that stop in the middle of a request and stay hold all the connections that the node
+ * Case 3: bad clients that stop in the middle of a request and stay hold all the connections that the node
  * accepts. A usual client's request, written whole on a connection that the node's machine accepted, must get
  * its final answer, or its connection must be shut.
  */
