--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec "$(dirname "$0")/../run-case.sh" "$(dirname "$0")" CrowdCase
+exec "$(dirname "$0")/../run-case.sh" "$(dirname "$0")" CrashCase
--- a/review/src/CrashCase.java
+++ b/review/src/CrashCase.java
@@ -5,7 +5,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Case 1: bad clients that stop in the middle of a request's head, and stay. The node must not end, and the
+ * Case 3: bad clients that stop in the middle of a request's head, and stay. The node must not end, and the
  * usual clients' requests must get their final answers.
  */
 final class CrashCase {
