--- a/review/src/SecondAnswerCase.java
+++ b/review/src/SecondAnswerCase.java
@@ -23,13 +23,13 @@
     private static final int SERVERS = 5;
     private static final int PAUSING_SERVERS = 2;
     private static final int WORK_MS = 100;
-    private static final int PAUSE_MS = 300;
+    private static final int PAUSE_MS = 340;
     private static final int MIN_RUN_MS = 800;
-    private static final int MAX_RUN_MS = 1_600;
-    private static final double SECOND_ANSWER_SHARE = 0.3;
-    private static final int SECOND_ANSWER_LATE_MS = 6;
+    private static final int MAX_RUN_MS = 1_200;
+    private static final double SECOND_ANSWER_SHARE = 0.4;
+    private static final int SECOND_ANSWER_LATE_MS = 7;
     /** A second answer that the test itself has delayed beyond this isn't sent. */
-    private static final long MAX_LATE_NS = TimeUnit.MICROSECONDS.toNanos(8_500);
+    private static final long MAX_LATE_NS = TimeUnit.MICROSECONDS.toNanos(9_000);
     /** Before, the stand-ins get up to speed. */
     private static final long COPIES_FROM_MS = 4_000;
     private static final AtomicInteger COPIES = new AtomicInteger();
