Count the memory of requests from their first byte, and reject the largest unfinished one

Cause: RequestMemoryBudget was told of a head only in ClientConnection.channelRead, once its request was complete. Netty's decoder keeps each line as objects from its arrival on.

Evidence (trials on the unfixed sources): the class histogram of a node with 60 such clients. The heap grew from 3.2 to 15.2 MB by 82,000 header entries with their texts, 146 bytes for a header of 10 bytes. 250 clients need 50 MB of a heap of 40 MB. Ruled out: the direct memory (the error names the heap), and the requests of usual clients (fewer than 100, some kB each).

Change: RequestDecoder tells the memory of the incomplete request, by its headers, its bytes and its buffer; each read sets it in the budget. Complete requests are counted by their headers too, not by four times their size. If the memory runs out, the largest unfinished request is answered 503 (it has not run, and nothing is wrong with it) and what was read of it is released at once, until there is enough. A small request of another client is therefore not the one that is rejected, as it was. The answer was 413 before, where the requester itself was over.

Why it works: what the heap holds for requests is now bounded by a quarter of it, whatever the clients' number.

Test: ClientMemoryTest, a process with the deployed memory sizes; failed 4 of 4 times without the fix (reset connections of usual clients, out of memory), passes with it. MainTest's reading of the deploy file moved to NodeProcess for it.

--- a/src/main/java/cedarrelay/node/ClientConnection.java
+++ b/src/main/java/cedarrelay/node/ClientConnection.java
@@ -19,11 +19,9 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpMessageDecoderResult;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseEncoder;
@@ -65,13 +63,13 @@
      * A complete request that waits until the earlier ones on its connection are answered.
      *
      * @param arrivedNs when it arrived, by {@link System#nanoTime}
-     * @param costBytes memory counted for it
+     * @param memoryBytes memory counted for it
      */
-    private record PipelinedRequest(FullHttpRequest http, long arrivedNs, long costBytes) { }
+    private record PipelinedRequest(FullHttpRequest http, long arrivedNs, long memoryBytes) { }
 
     private final ClientListener listener;
     private final Channel channel;
-    private final RequestDecoder decoder = new RequestDecoder();
+    private final RequestMemoryBudget.Account memory;
     private final Deque<PipelinedRequest> pipelined = new ArrayDeque<>();
     private final long openedNs = System.nanoTime();
     /**
@@ -84,9 +82,10 @@
     /** The request that waits for its response, or null. */
     private Exchange pending;
     /** Memory counted for the pending request. */
-    private long pendingCostBytes;
-    /** Memory counted for the request that is being read. */
-    private long partialCostBytes;
+    private long pendingMemoryBytes;
+    /** Decodes the input; null once further input is discarded. */
+    private RequestDecoder decoder = new RequestDecoder();
+    private RequestAggregator aggregator = new RequestAggregator();
     /** When the request that is being read began; 0 if none is. */
     private long requestBegunNs;
     /** When the latest response was passed to the channel. */
@@ -108,6 +107,7 @@
     private ClientConnection(ClientListener listener, Channel channel) {
         this.listener = listener;
         this.channel = channel;
+        memory = listener.requestMemory().open(this::rejectForMemory);
         connectedNs = openedNs - loopLagNs();
         openedTick = listener.loopLag().tickCount();
     }
@@ -115,14 +115,18 @@
     /** Adds the handlers of a new client connection to its pipeline. */
     static void open(ClientListener listener, ChannelPipeline pipeline) {
         ClientConnection connection = new ClientConnection(listener, pipeline.channel());
-        pipeline.addLast(connection.new InputDiscarder(), connection.decoder, new HttpResponseEncoder(),
-                connection.new RequestAggregator(), connection);
+        pipeline.addLast(connection.new InputMeter(), connection.decoder, new HttpResponseEncoder(),
+                connection.aggregator, connection);
     }
 
     /** Whether no request is pending, pipelined or partly read and no response is still being written. */
     boolean isIdle() {
         return pending == null && unwrittenResponses == 0 && pipelined.isEmpty()
-                && !decoder.hasPartialRequest();
+                && !hasPartialRequest();
+    }
+
+    private boolean hasPartialRequest() {
+        return decoder != null && decoder.hasPartialRequest();
     }
 
     /** Since when an idle connection has been idle, by {@link System#nanoTime}. */
@@ -174,7 +178,7 @@
         // If the event loop lags, the rest of the request may have arrived in time: isClientConnected()
         // reads it.
         if (isOverdue(nowNs) && isClientConnected() && isOverdue(nowNs)) {
-            if (decoder.hasPartialRequest()) {
+            if (hasPartialRequest()) {
                 reject(new BadRequestException(HttpResponseStatus.REQUEST_TIMEOUT,
                         "request not whole in time"));
             } else {
@@ -187,7 +191,7 @@
         if (pending != null || !pipelined.isEmpty()) {
             return false;
         }
-        return decoder.hasPartialRequest()
+        return hasPartialRequest()
                 ? nowNs - (requestReceived ? requestBegunNs : openedNs) > CLIENT_TIMEOUT_NS
                 : !requestReceived && nowNs - openedNs > CLIENT_TIMEOUT_NS;
     }
@@ -200,14 +204,10 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         listener.connectionClosed(this);
-        for (PipelinedRequest next : pipelined) {
-            next.http.release();
-            listener.requestMemory().release(next.costBytes);
-        }
+        pipelined.forEach(next -> next.http.release());
         pipelined.clear();
-        listener.requestMemory().release(partialCostBytes + pendingCostBytes);
-        partialCostBytes = 0;
-        pendingCostBytes = 0;
+        memory.close();
+        pendingMemoryBytes = 0;
         if (pending != null) {
             Exchange abandoned = pending;
             pending = null;
@@ -233,18 +233,15 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         long arrivedNs = arrivedNs();
-        listener.requestMemory().release(partialCostBytes);
-        partialCostBytes = 0;
         if (discardingInput || !(message instanceof FullHttpRequest http)) {
             ReferenceCountUtil.release(message);
             return;
         }
-        long costBytes = RequestMemoryBudget.estimateBytes(
-                http.decoderResult() instanceof HttpMessageDecoderResult decoded
-                ? decoded.totalSize() : 0, http.content().readableBytes());
-        if (!listener.requestMemory().tryReserve(costBytes)) {
+        memory.setUnfinished(0);
+        long memoryBytes = RequestMemoryBudget.estimateBytes(http);
+        if (!memory.tryAddComplete(memoryBytes)) {
             http.release();
-            reject(new BadRequestException(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "too much at once"));
+            rejectForMemory();
             return;
         }
         requestReceived = true;
@@ -254,21 +251,21 @@
             // Otherwise an overloaded node would work mostly for disconnected clients and stay overloaded.
             channel.eventLoop().execute(this::handleNextPipelined);
         }
-        pipelined.add(new PipelinedRequest(http, arrivedNs, costBytes));
+        pipelined.add(new PipelinedRequest(http, arrivedNs, memoryBytes));
         channel.config().setAutoRead(pipelined.size() < MAX_PIPELINED);
     }
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
-        if (!decoder.hasPartialRequest()) {
+        if (!hasPartialRequest()) {
             requestBegunNs = 0;
         } else if (requestBegunNs == 0) {
             requestBegunNs = System.nanoTime();
         }
     }
 
-    private void handle(FullHttpRequest http, long arrivedNs, long costBytes) {
-        pendingCostBytes = costBytes;
+    private void handle(FullHttpRequest http, long arrivedNs, long memoryBytes) {
+        pendingMemoryBytes = memoryBytes;
         try {
             if (http.decoderResult().isFailure()) {
                 reject(decodingError(http.decoderResult().cause()));
@@ -345,7 +342,7 @@
      * the connection, unless earlier requests are unanswered: then the last of their responses closes it.
      */
     private void reject(BadRequestException e) {
-        discardingInput = true;
+        discardInput();
         if (pending != null || !pipelined.isEmpty() || closingAfterResponse) {
             return;
         }
@@ -358,6 +355,25 @@
         });
     }
 
+    /** Rejects the request that is being or has just been read, as requests take too much memory. */
+    private void rejectForMemory() {
+        listener.recordMemoryRejection(channel.remoteAddress());
+        // The request has not run, and nothing is wrong with it: the client may try again.
+        reject(new BadRequestException(HttpResponseStatus.SERVICE_UNAVAILABLE, "out of memory for requests"));
+    }
+
+    /** Discards all further input, and releases what has been read of an incomplete request. */
+    private void discardInput() {
+        discardingInput = true;
+        if (decoder != null) {
+            channel.pipeline().remove(aggregator);
+            channel.pipeline().remove(decoder);
+            aggregator = null;
+            decoder = null;
+            memory.setUnfinished(0);
+        }
+    }
+
     /**
      * Sends the response to the pending request or to the one that has just been read, then handles the
      * next one or, where the connection can't be kept, closes it.
@@ -365,14 +381,14 @@
     void respond(FullHttpResponse response, boolean keepAlive) {
         clientErrors = response.status().codeClass() == HttpStatusClass.CLIENT_ERROR ? clientErrors + 1 : 0;
         pending = null;
-        listener.requestMemory().release(pendingCostBytes);
-        pendingCostBytes = 0;
+        memory.releaseComplete(pendingMemoryBytes);
+        pendingMemoryBytes = 0;
         boolean lastRequest = pipelined.isEmpty();
         boolean keepOpen = keepAlive && !closingAfterResponse && clientErrors < MAX_CLIENT_ERRORS
                 && !(lastRequest && (discardingInput || listener.closesAfterResponse()));
         ChannelFuture writing = write(keepOpen ? response : withConnectionClose(response));
         if (!keepOpen) {
-            discardingInput = true;
+            discardInput();
             closingAfterResponse = true;
             writing.addListener(ChannelFutureListener.CLOSE);
         } else if (!lastRequest) {
@@ -396,7 +412,7 @@
                 ? pipelined.poll() : null;
         if (next != null) {
             channel.config().setAutoRead(true);
-            handle(next.http, next.arrivedNs, next.costBytes);
+            handle(next.http, next.arrivedNs, next.memoryBytes);
         }
     }
 
@@ -421,14 +437,20 @@
         }
     }
 
-    /** Counts the input; once it is to be discarded, skips its decoding, and beyond a limit stops reading. */
-    private final class InputDiscarder extends ChannelInboundHandlerAdapter {
+    /**
+     * Counts the input, and the memory that it takes once it is decoded. Input that is to be discarded is
+     * not decoded, and beyond a limit not read.
+     */
+    private final class InputMeter extends ChannelInboundHandlerAdapter {
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             int addedBytes = message instanceof ByteBuf buffer ? buffer.readableBytes() : 0;
             receivedBytes += addedBytes;
             if (!discardingInput) {
                 ctx.fireChannelRead(message);
+                if (decoder != null && !memory.setUnfinished(decoder.partialRequestBytes())) {
+                    rejectForMemory();
+                }
                 return;
             }
             discardedBytes += addedBytes;
@@ -445,19 +467,6 @@
             super(MAX_BODY_BYTES, true);
         }
 
-        @Override
-        public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
-            int addedBytes = message instanceof HttpContent content ? content.content().readableBytes() : 0;
-            if (discardingInput || !listener.requestMemory().tryReserve(addedBytes)) {
-                ReferenceCountUtil.release(message);
-                reject(new BadRequestException(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
-                        "too much at once"));
-                return;
-            }
-            partialCostBytes += addedBytes;
-            super.channelRead(ctx, message);
-        }
-
         @Override
         protected Object newContinueResponse(HttpMessage start, int maxContentLength,
                 ChannelPipeline pipeline) {
--- a/src/main/java/cedarrelay/node/ClientListener.java
+++ b/src/main/java/cedarrelay/node/ClientListener.java
@@ -1,5 +1,7 @@
 package cedarrelay.node;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
@@ -28,6 +30,7 @@
 
 /** Accepts client connections; closes those that exceed a time limit, and idle ones if sockets run short. */
 final class ClientListener {
+    private static final Logger LOG = System.getLogger(ClientListener.class.getName());
     private static final String METRICS_PATH = "/metrics";
     private static final int ACCEPT_BACKLOG = 1_024;
     /**
@@ -221,6 +224,12 @@
         metrics.recordViolation(Counter.VIOLATIONS_CLOSE_UNANSWERED, "client " + client);
     }
 
+    /** Records that a request was rejected because requests took too much memory. */
+    void recordMemoryRejection(SocketAddress client) {
+        metrics.increment(Counter.REQUESTS_OUT_OF_MEMORY);
+        LOG.log(Level.DEBUG, "no memory for a request of client {0}", client);
+    }
+
     /** Parses and checks a request; throws the error to be sent if it can't be forwarded. */
     ClientRequest parseRequest(FullHttpRequest http) throws BadRequestException {
         return parser.parse(http);
--- a/src/main/java/cedarrelay/node/RequestDecoder.java
+++ b/src/main/java/cedarrelay/node/RequestDecoder.java
@@ -8,8 +8,12 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AsciiString;
 
-/** Netty's request decoder, stricter about a request's length; also tells if a request is incomplete. */
+/**
+ * Netty's request decoder, stricter about a request's length; also tells if a request is incomplete, and how
+ * much memory it takes so far.
+ */
 final class RequestDecoder extends HttpRequestDecoder {
     /** Longest request line, in bytes. */
     static final int MAX_REQUEST_LINE_BYTES = 8_192;
@@ -17,6 +21,10 @@
     static final int MAX_HEADER_BYTES = 16_384;
 
     private boolean requestBegun;
+    /** Headers of the incomplete request. */
+    private int headerCount;
+    /** Bytes of the incomplete request that have been decoded. */
+    private long decodedBytes;
 
     RequestDecoder() {
         super(new HttpDecoderConfig().setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
@@ -28,11 +36,24 @@
         return requestBegun || actualReadableBytes() > 0;
     }
 
+    /** The estimated memory of the incomplete request in bytes; 0 if there is none. */
+    long partialRequestBytes() {
+        if (!hasPartialRequest()) {
+            return 0;
+        }
+        int bufferBytes = actualReadableBytes() > 0 ? internalBuffer().capacity() : 0;
+        return bufferBytes + RequestMemoryBudget.estimateBytes(headerCount, decodedBytes);
+    }
+
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out) throws Exception {
+        int readableBefore = buffer.readableBytes();
         super.decode(ctx, buffer, out);
+        decodedBytes += readableBefore - buffer.readableBytes();
         if (!out.isEmpty() && out.get(out.size() - 1) instanceof LastHttpContent) {
             requestBegun = false;
+            headerCount = 0;
+            decodedBytes = 0;
         }
     }
 
@@ -42,6 +63,12 @@
         return super.createMessage(initialLine);
     }
 
+    @Override
+    protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+        headerCount++;
+        return super.splitHeaderName(line, start, length);
+    }
+
     /**
      * Rejects a request with both lengths. Netty would use the chunks and drop Content-Length; a peer that
      * uses Content-Length would see a second request in the same bytes (request smuggling).
--- /dev/null
+++ b/src/test/java/cedarrelay/node/ClientMemoryTest.java
@@ -0,0 +1,96 @@
+package cedarrelay.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Clients that make a node keep much memory, on a node process with the deployed sizes of its memory. */
+@Timeout(120)
+class ClientMemoryTest {
+    private static final int MANY_CLIENTS = 300;
+    /** Below the 16 KiB that a head may have. */
+    private static final int LONG_HEAD_BYTES = 15_000;
+    private static final String SHORT_HEADER = "X-Part: 1\r\n";
+    private static final int USUAL_REQUESTS = 50;
+    /** Within this time of connecting, a client gets an error or a close, whatever it sends. */
+    private static final int ERROR_TIMEOUT_MS = 3_000;
+
+    private FakePeer discovery;
+    private FakePeer server;
+    private Path log;
+    private NodeProcess node;
+    private final List<Socket> clients = new ArrayList<>();
+
+    @BeforeEach
+    void open() throws Exception {
+        discovery = new FakePeer(FakePeer.SILENT);
+        server = new FakePeer(FakePeer.respond("200 OK", "", "done"));
+        log = Files.createTempFile("node", ".log");
+        node = new NodeProcess(Fixture.config(discovery, server), NodeProcess.freePort(), log, Map.of(),
+                NodeProcess.deployedMemoryOptions());
+        node.awaitReady();
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        node.close();
+        discovery.close();
+        server.close();
+        for (Socket client : clients) {
+            client.close();
+        }
+        Files.delete(log);
+    }
+
+    /** Opens this many connections and writes the text to each. */
+    private void writeAll(int count, String text) throws IOException {
+        for (int i = 0; i < count; i++) {
+            Socket client = node.connect();
+            clients.add(client);
+            FakePeer.write(client, text);
+        }
+    }
+
+    /** Requests of other clients must be served as if nothing were wrong. */
+    private void assertUsualClientsAreServed() throws IOException {
+        for (int i = 0; i < USUAL_REQUESTS; i++) {
+            try (Socket client = node.connect()) {
+                FakePeer.write(client, Fixture.request("GET", "/view", 1_000_000 + i, "", ""));
+                String response = FakePeer.readMessage(client);
+                assertTrue(response != null && response.startsWith("HTTP/1.1 200"),
+                        "a usual request got " + response + ", the node's log: " + node.lastLogLines());
+            }
+        }
+        assertTrue(node.isAlive(), () -> "the node exited with status " + node.exitValue());
+    }
+
+    /** Guards against the end of the process with an OutOfMemoryError, as incomplete heads were not counted. */
+    @Test
+    void incompleteHeadsOfShortHeadersDoNotExhaustTheHeap() throws Exception {
+        long startNs = System.nanoTime();
+        writeAll(MANY_CLIENTS, "POST /order HTTP/1.1\r\n"
+                + SHORT_HEADER.repeat(LONG_HEAD_BYTES / SHORT_HEADER.length()));
+        assertUsualClientsAreServed();
+        for (Socket client : clients) {
+            String response = FakePeer.readMessage(client);
+            assertTrue(response == null || response.matches("(?s)HTTP/1.1 (408|503) .*"), response);
+        }
+        long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs);
+        assertTrue(tookMs < ERROR_TIMEOUT_MS, "the last error came after " + tookMs + " ms");
+        assertTrue(node.metric("requests_out_of_memory_total") > 0);
+        assertEquals(0, node.metric("violations_close_unanswered_total"));
+    }
+}
--- a/src/test/java/cedarrelay/node/MainTest.java
+++ b/src/test/java/cedarrelay/node/MainTest.java
@@ -12,10 +12,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
 
 import com.google.gson.Gson;
 import com.google.gson.GsonBuilder;
@@ -312,16 +310,6 @@
         }
     }
 
-    /** The JVM's memory options in the {@code run} setting of the deploy file. */
-    private static String deployedHeapOptions() throws IOException {
-        String run = Files.readAllLines(Path.of("deploy", "balancer.toml")).stream()
-                .filter(line -> line.startsWith("run ")).findFirst().orElseThrow();
-        String sizes = Arrays.stream(run.split(" ")).filter(option -> option.matches("-X.*\\d+m"))
-                .collect(Collectors.joining(" "));
-        assertTrue(sizes.contains("-Xmx"), run);
-        return sizes;
-    }
-
     /** A full server list whose entries all have the address of the peer. */
     private static JsonObject listOfManyServers(FakePeer peer, String prefix) {
         JsonObject list = JsonParser.parseString(Fixture.listMessage(43, true, "Ready", peer))
@@ -344,7 +332,7 @@
         config.getAsJsonObject("settings").addProperty("balancers", SERVER_COUNT);
         Path file = Files.writeString(Fixture.writeConfig(config), indented.toJson(config));
         try (FakePeer newServer = new FakePeer(FakePeer.respond("200 OK", "", "fresh"))) {
-            run(file.toString(), "", deployedHeapOptions());
+            run(file.toString(), "", String.join(" ", NodeProcess.deployedMemoryOptions()));
             discovery.nextRequest();
             awaitOk("/ready");
             try (Socket client = connect()) {
--- a/src/test/java/cedarrelay/node/NodeProcess.java
+++ b/src/test/java/cedarrelay/node/NodeProcess.java
@@ -9,6 +9,8 @@
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -34,14 +36,23 @@
 
     /** Starts a node on a loopback port; appends its standard output and standard error to the log file. */
     NodeProcess(JsonObject config, int port, Path log, Map<String, String> environment) throws IOException {
+        this(config, port, log, environment, List.of("-Xmx64m"));
+    }
+
+    /** As the other constructor, with these options for the sizes of the JVM's memory. */
+    NodeProcess(JsonObject config, int port, Path log, Map<String, String> environment,
+            List<String> memoryOptions) throws IOException {
         this.port = port;
         this.log = log;
         config.addProperty("listen", "127.0.0.1:" + port);
         String classPath = System.getProperty("surefire.test.class.path",
                 System.getProperty("java.class.path"));
-        ProcessBuilder builder = new ProcessBuilder(
+        List<String> command = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1", "-Xmx64m", "-cp", classPath, "cedarrelay.node.Main");
+                "-XX:TieredStopAtLevel=1"));
+        command.addAll(memoryOptions);
+        command.addAll(List.of("-cp", classPath, "cedarrelay.node.Main"));
+        ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().keySet().removeIf(name -> name.startsWith("LB_"));
         builder.environment().putAll(environment);
         builder.environment().put("LB_CONFIG", Fixture.writeConfig(config).toString());
@@ -49,6 +60,18 @@
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile())).start();
     }
 
+    /** The options for the sizes of the JVM's memory in the {@code run} setting of the deploy file. */
+    static List<String> deployedMemoryOptions() throws IOException {
+        String run = Files.readAllLines(Path.of("deploy", "balancer.toml")).stream()
+                .filter(line -> line.startsWith("run ")).findFirst().orElseThrow();
+        List<String> options = Arrays.stream(run.split(" ")).filter(option -> option.matches("-X.*\\d+m"))
+                .toList();
+        if (options.stream().noneMatch(option -> option.startsWith("-Xmx"))) {
+            throw new AssertionError("the deploy file sets no size of the heap: " + run);
+        }
+        return options;
+    }
+
     /** A free port for a node, which the kernel gives to no other socket. */
     static int freePort() throws IOException {
         return NodePorts.nextFree();
