--- a/src/test/java/cedarrelay/node/ClientMemoryTest.java
+++ b/src/test/java/cedarrelay/node/ClientMemoryTest.java
@@ -77,7 +77,7 @@
         assertTrue(node.isAlive(), () -> "the node exited with status " + node.exitValue());
     }
 
-    /** Guards against the end of the process with an OutOfMemoryError, as incomplete heads were not counted. */
+    /** Guards against an OutOfMemoryError that ends the process, as incomplete heads were not counted. */
     @Test
     void incompleteHeadsOfShortHeadersDoNotExhaustTheHeap() throws Exception {
         long startNs = System.nanoTime();
