Go on after an error in the event loop, and end with code 3 if it keeps failing

Cause: an Error that is thrown outside the channels' handlers passes through NioIoHandler.run and ends the only thread of the event loop; nothing in Main notices it. Evidence, from the node's log in the case: 'Exception in thread "multiThreadIoEventLoopGroup-2-1" OutOfMemoryError', then the shutdown hook's 'event executor terminated'.

Change: ErrorTolerantIoHandler catches it, reports it (log, cedarrelay_event_loop_errors_total) and returns to the loop; events that were not handled are selected again.

Test: EventLoopsTest, on a node with a request pending; without the handler it fails (read timed out).

--- a/src/main/java/cedarrelay/node/Main.java
+++ b/src/main/java/cedarrelay/node/Main.java
@@ -16,6 +16,8 @@
 
     /** Exit code of a process that was started with an unusable configuration. */
     private static final int BAD_CONFIG_EXIT_CODE = 2;
+    /** Exit code of a process whose event loop has ended by an error. */
+    private static final int EVENT_LOOP_ENDED_EXIT_CODE = 3;
     /** Requests of the warm-up: enough to load all classes. More would speed up the first responses but delay
      * the start. */
     private static final int WARM_UP_REQUESTS = 100;
@@ -38,7 +40,8 @@
     /**
      * Reads the configuration that the environment names and serves until SIGTERM. SIGHUP reloads the
      * configuration file. An unusable configuration ends the process with one line on standard error and exit
-     * code 2, a listening socket that cannot be opened with exit code 1.
+     * code 2, a listening socket that cannot be opened with exit code 1, an event loop that has ended by an
+     * error with exit code 3.
      *
      * <p>With the argument {@code rehearse}, the process only runs the warm-up and exits: the build does so
      * to record the loaded classes for the class data sharing archive.
@@ -54,9 +57,10 @@
         } catch (IllegalArgumentException e) {
             exit("bad configuration: " + e.getMessage(), BAD_CONFIG_EXIT_CODE);
         }
-        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, RoundedUpIoHandler.newFactory());
-        EventLoop loop = group.next();
         Node[] startedNode = new Node[1];
+        EventLoopGroup group = EventLoops.newGroup(RoundedUpIoHandler.newFactory(),
+                error -> recordLoopError(startedNode[0], error), Main::exitAsLoopEnded);
+        EventLoop loop = group.next();
         // Before anything else, as an unhandled SIGHUP ends the process. The event loop runs tasks in order,
         // so a reload requested now runs after the node has started.
         SighupHandler.install(() -> loop.execute(() -> reload(startedNode[0], environment)));
@@ -101,6 +105,22 @@
                 group::shutdownGracefully));
     }
 
+    private static void recordLoopError(Node node, Throwable error) {
+        if (node != null) {
+            node.recordLoopError();
+        }
+        LOG.log(Level.ERROR, "an error in the event loop, which goes on", error);
+    }
+
+    /** Without its event loop a node answers nobody: the process ends instead, at once and with a code. */
+    private static void exitAsLoopEnded() {
+        try {
+            System.err.println("cedarrelay: the event loop has ended by an error");
+        } finally {
+            Runtime.getRuntime().halt(EVENT_LOOP_ENDED_EXIT_CODE);
+        }
+    }
+
     private static void exit(String reason, int code) {
         System.err.println("cedarrelay: " + reason);
         // Skips the shutdown hook: it would wait for a graceful stop although no request is pending.
--- a/src/main/java/cedarrelay/node/Metrics.java
+++ b/src/main/java/cedarrelay/node/Metrics.java
@@ -25,6 +25,7 @@
         LISTS_APPLIED("Messages of discovery taken into the server list."),
         WATCH_FAILURES("Watches that could not be opened or that ended."),
         SENDS_HELD("Times that a send had to wait until the server list was known to be current."),
+        EVENT_LOOP_ERRORS("Errors of the event loop after which it went on."),
         VIOLATIONS_STALE_LIST("Sends by a list older than the grace of a drain."),
         VIOLATIONS_SEND_TO_DRAINING("Sends, stopped, to a server that drains or is gone."),
         VIOLATIONS_SEND_BEFORE_LIST("Sends, stopped, before any list was in use."),
--- a/src/main/java/cedarrelay/node/Node.java
+++ b/src/main/java/cedarrelay/node/Node.java
@@ -361,6 +361,11 @@
         }
     }
 
+    /** Counts an error after which the event loop went on. */
+    void recordLoopError() {
+        metrics.increment(Counter.EVENT_LOOP_ERRORS);
+    }
+
     /** Applies what may change while the node runs: the address of discovery. */
     void reload(Config newConfig) {
         discovery.moveTo(newConfig.discovery());
--- a/src/test/java/cedarrelay/node/PausableIoHandler.java
+++ b/src/test/java/cedarrelay/node/PausableIoHandler.java
@@ -1,5 +1,7 @@
 package cedarrelay.node;
 
+import java.util.function.IntConsumer;
+
 import io.netty.channel.IoHandle;
 import io.netty.channel.IoHandler;
 import io.netty.channel.IoHandlerContext;
@@ -14,25 +16,32 @@
  */
 final class PausableIoHandler implements IoHandler {
     private final IoHandler delegate;
-    private final Runnable afterEvents;
+    private final IntConsumer afterRun;
 
-    private PausableIoHandler(IoHandler delegate, Runnable afterEvents) {
+    private PausableIoHandler(IoHandler delegate, IntConsumer afterRun) {
         this.delegate = delegate;
-        this.afterEvents = afterEvents;
+        this.afterRun = afterRun;
     }
 
     /** Returns a factory of handlers that run the hook whenever they have handled at least one event. */
     static IoHandlerFactory newFactory(Runnable afterEvents) {
+        return newFactoryWithHookAfterEachRun(handledEvents -> {
+            if (handledEvents > 0) {
+                afterEvents.run();
+            }
+        });
+    }
+
+    /** Returns a factory of handlers that run the hook after each run, with the number of handled events. */
+    static IoHandlerFactory newFactoryWithHookAfterEachRun(IntConsumer afterRun) {
         IoHandlerFactory factory = NioIoHandler.newFactory();
-        return executor -> new PausableIoHandler(factory.newHandler(executor), afterEvents);
+        return executor -> new PausableIoHandler(factory.newHandler(executor), afterRun);
     }
 
     @Override
     public int run(IoHandlerContext context) {
         int handledEvents = delegate.run(context);
-        if (handledEvents > 0) {
-            afterEvents.run();
-        }
+        afterRun.accept(handledEvents);
         return handledEvents;
     }
 
