Keep copies of the parts of a request's body, not the buffers into which they were read

Cause: the parts of a body refer to the buffers into which they were read, and the aggregator keeps the parts: 80 bytes keep 512 or more, and the budget counts 80. The 24 MB of direct memory are full with 5.8 MB of bodies, and each allocation then waits 0.5 s and fails. Ruled out: heap, processor (in one piece the same requests are all answered).

Change: RequestDecoder emits copies of the parts on the heap, so the buffer is free after each read; the objects of a part are counted, and at most 64 are kept apart before they are joined.

--- a/src/main/java/cedarrelay/node/ClientConnection.java
+++ b/src/main/java/cedarrelay/node/ClientConnection.java
@@ -465,6 +465,7 @@
     private final class RequestAggregator extends HttpObjectAggregator {
         RequestAggregator() {
             super(MAX_BODY_BYTES, true);
+            setMaxCumulationBufferComponents(RequestMemoryBudget.MAX_BODY_PARTS);
         }
 
         @Override
--- a/src/main/java/cedarrelay/node/RequestDecoder.java
+++ b/src/main/java/cedarrelay/node/RequestDecoder.java
@@ -3,7 +3,9 @@
 import java.util.List;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
@@ -12,7 +14,8 @@
 
 /**
  * Netty's request decoder, stricter about a request's length; also tells if a request is incomplete, and how
- * much memory it takes so far.
+ * much memory it takes so far. It emits copies of the parts of a body: Netty's refer to the buffer into which
+ * they were read, and so would keep all of it, however short they are.
  */
 final class RequestDecoder extends HttpRequestDecoder {
     /** Longest request line, in bytes. */
@@ -23,6 +26,8 @@
     private boolean requestBegun;
     /** Headers of the incomplete request. */
     private int headerCount;
+    /** Parts of the incomplete request's body. */
+    private int bodyPartCount;
     /** Bytes of the incomplete request that have been decoded. */
     private long decodedBytes;
 
@@ -42,21 +47,35 @@
             return 0;
         }
         int bufferBytes = actualReadableBytes() > 0 ? internalBuffer().capacity() : 0;
-        return bufferBytes + RequestMemoryBudget.estimateBytes(headerCount, decodedBytes);
+        return bufferBytes + RequestMemoryBudget.estimateBytes(headerCount, bodyPartCount, decodedBytes);
     }
 
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out) throws Exception {
         int readableBefore = buffer.readableBytes();
+        int partsBefore = out.size();
         super.decode(ctx, buffer, out);
         decodedBytes += readableBefore - buffer.readableBytes();
+        for (int i = partsBefore; i < out.size(); i++) {
+            if (out.get(i) instanceof HttpContent part && part.content().isReadable()) {
+                bodyPartCount++;
+                out.set(i, copy(part));
+            }
+        }
         if (!out.isEmpty() && out.get(out.size() - 1) instanceof LastHttpContent) {
             requestBegun = false;
             headerCount = 0;
+            bodyPartCount = 0;
             decodedBytes = 0;
         }
     }
 
+    private static HttpContent copy(HttpContent part) {
+        HttpContent copy = part.replace(Unpooled.copiedBuffer(part.content()));
+        part.release();
+        return copy;
+    }
+
     @Override
     protected HttpMessage createMessage(String[] initialLine) throws Exception {
         requestBegun = true;
--- a/src/main/java/cedarrelay/node/RequestMemoryBudget.java
+++ b/src/main/java/cedarrelay/node/RequestMemoryBudget.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import io.netty.buffer.CompositeByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMessageDecoderResult;
 
@@ -20,6 +21,10 @@
     /** Memory of the objects that represent a header, besides its text: those of the parsed header, and those
      * of the copies that are made to forward it. */
     private static final int HEADER_OVERHEAD_BYTES = 256;
+    /** Parts of a body that are kept apart; if there are more, all so far are copied into one. */
+    static final int MAX_BODY_PARTS = 64;
+    /** Memory of the objects that represent a part of a body, besides its bytes. */
+    private static final int BODY_PART_OVERHEAD_BYTES = 256;
 
     private final long maxBytes;
     private long usedBytes;
@@ -102,16 +107,23 @@
         return new Account(rejectUnfinished);
     }
 
-    /** The estimated memory of a request in bytes, by its headers and its size on the wire so far. */
-    static long estimateBytes(int headerCount, long wireBytes) {
-        return REQUEST_OVERHEAD_BYTES + (long) HEADER_OVERHEAD_BYTES * headerCount + wireBytes;
+    /**
+     * The estimated memory of a request in bytes, by what has been read of it.
+     *
+     * @param wireBytes its size on the wire
+     */
+    static long estimateBytes(int headerCount, int bodyPartCount, long wireBytes) {
+        return REQUEST_OVERHEAD_BYTES + (long) HEADER_OVERHEAD_BYTES * headerCount
+                + BODY_PART_OVERHEAD_BYTES * Math.min(bodyPartCount, MAX_BODY_PARTS) + wireBytes;
     }
 
     /** The estimated memory of a complete request in bytes. */
     static long estimateBytes(FullHttpRequest request) {
         int headBytes = request.decoderResult() instanceof HttpMessageDecoderResult decoded
                 ? decoded.totalSize() : 0;
-        return estimateBytes(request.headers().size(), headBytes + request.content().readableBytes());
+        int bodyPartCount = request.content() instanceof CompositeByteBuf body ? body.numComponents() : 1;
+        return estimateBytes(request.headers().size(), bodyPartCount,
+                headBytes + request.content().readableBytes());
     }
 
     /** Whether the memory in use is within the limit, once larger unfinished requests have been rejected. */
--- a/src/test/java/cedarrelay/node/ClientMemoryTest.java
+++ b/src/test/java/cedarrelay/node/ClientMemoryTest.java
@@ -24,6 +24,9 @@
     /** Below the 16 KiB that a head may have. */
     private static final int LONG_HEAD_BYTES = 15_000;
     private static final String SHORT_HEADER = "X-Part: 1\r\n";
+    private static final int SLOW_WRITERS = 120;
+    private static final int LONG_BODY_BYTES = 48_000;
+    private static final int BODY_PIECE_BYTES = 80;
     private static final int USUAL_REQUESTS = 50;
     /** Within this time of connecting, a client gets an error or a close, whatever it sends. */
     private static final int ERROR_TIMEOUT_MS = 3_000;
@@ -93,4 +96,26 @@
         assertTrue(node.metric("requests_out_of_memory_total") > 0);
         assertEquals(0, node.metric("violations_close_unanswered_total"));
     }
+
+    /** Guards against an event loop that stands still without direct memory, as buffers were not counted. */
+    @Test
+    void bodiesWrittenInSmallPiecesDoNotExhaustTheDirectMemory() throws Exception {
+        writeAll(SLOW_WRITERS, "");
+        for (int i = 0; i < SLOW_WRITERS; i++) {
+            String request = Fixture.request("POST", "/order", i, "", "x".repeat(LONG_BODY_BYTES));
+            FakePeer.write(clients.get(i), request.substring(0, request.length() - LONG_BODY_BYTES));
+        }
+        for (int written = 0; written < LONG_BODY_BYTES; written += BODY_PIECE_BYTES) {
+            for (Socket client : clients) {
+                FakePeer.write(client, "x".repeat(BODY_PIECE_BYTES));
+            }
+        }
+        assertUsualClientsAreServed();
+        for (Socket client : clients) {
+            String response = FakePeer.readMessage(client);
+            // A client that is slow because the machine is busy gets a 408.
+            assertTrue(response != null && response.matches("(?s)HTTP/1.1 (200|408) .*"), response);
+        }
+        assertEquals(0, node.metric("requests_out_of_memory_total"));
+    }
 }
