Recognize a late duplicate of a response by its body, and wait for the real response

Cause: ServerPool.Connection takes whatever comes after a request is written for its response. A copy that a paused server sends late comes after the 10 ms of rest, and shifts all later responses of the connection by one. Nothing bounds the delay of a copy, so a longer rest would not mend it.

Change: DuplicateResponseDetector compares the digests of the bodies. A 200 that equals the previous one on its connection is dropped if the last 256 responses of all servers were all different; the node waits for the real one and closes the connection after it. If none comes, equal bodies count as usual again.

Test: ServerPoolTest.aDuplicateResponseAfterTheNextRequestIsNotUsedForIt; without the check it fails (expected response 257, was 256).

--- a/src/main/java/cedarrelay/node/Metrics.java
+++ b/src/main/java/cedarrelay/node/Metrics.java
@@ -22,6 +22,7 @@
         ATTEMPTS_WRITTEN("Attempts whose first byte was written to a server."),
         ATTEMPTS_NOT_SENT("Attempts dropped before their first byte, as no longer wanted or allowed."),
         ATTEMPTS_RETRIED("Attempts after the first one of a request."),
+        RESPONSES_DUPLICATE("Late duplicates of a server's previous response, discarded."),
         LISTS_APPLIED("Messages of discovery taken into the server list."),
         WATCH_FAILURES("Watches that could not be opened or that ended."),
         SENDS_HELD("Times that a send had to wait until the server list was known to be current."),
--- a/src/main/java/cedarrelay/node/Node.java
+++ b/src/main/java/cedarrelay/node/Node.java
@@ -288,7 +288,8 @@
         gate = new MembershipGate(loop, metrics, !config.settings().listOnRequest,
                 config.settings().drainGraceUs, loopLag::lagUs, this::resume);
         pool = new ServerPool(loop, socketLimiter, config.settings().connectTimeoutUs,
-                config.serverIdleTimeoutUs(), ServerPool.QUARANTINE_US, gate::mayWrite);
+                config.serverIdleTimeoutUs(), ServerPool.QUARANTINE_US, gate::mayWrite,
+                new DuplicateResponseDetector(() -> metrics.increment(Counter.RESPONSES_DUPLICATE)));
         clientListener = new ClientListener(loop, socketLimiter, loopLag,
                 new ClientRequest.Parser(config.settings()), this::acceptRequest, metrics);
         discovery = new Discovery(loop, config.discovery(), config.knownServers().revision(),
--- a/src/main/java/cedarrelay/node/ServerPool.java
+++ b/src/main/java/cedarrelay/node/ServerPool.java
@@ -1,6 +1,7 @@
 package cedarrelay.node;
 
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -28,6 +29,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 
@@ -131,6 +133,9 @@
                 }
             }
             usedConnection.attempt = null;
+            if (usedConnection.duplicateReceived) {
+                duplicates.onNoOtherResponse();
+            }
             // The response may still arrive, so the connection can't carry another request.
             usedConnection.channel.close();
             if (result == Result.TIMEOUT && server.lastResponseNs - sentNs < 0) {
@@ -164,11 +169,13 @@
     private final ScheduledFuture<?> idleSweep;
     private final Map<String, Server> servers = new HashMap<>();
     private final BooleanSupplier mayWrite;
+    private final DuplicateResponseDetector duplicates;
 
     /** Creates a pool that may write at any time; for the parameters see the other constructor. */
     ServerPool(EventLoop loop, SocketLimiter socketLimiter, long connectTimeoutUs, long serverIdleTimeoutUs,
             long quarantineUs) {
-        this(loop, socketLimiter, connectTimeoutUs, serverIdleTimeoutUs, quarantineUs, () -> true);
+        this(loop, socketLimiter, connectTimeoutUs, serverIdleTimeoutUs, quarantineUs, () -> true,
+                new DuplicateResponseDetector(() -> { }));
     }
 
     /**
@@ -178,10 +185,12 @@
      * @param serverIdleTimeoutUs after how long the servers close an idle connection, in microseconds
      * @param quarantineUs how long a connection is not reused after a response, in microseconds
      * @param mayWrite the check; it may apply a new server list and so call {@link #update}
+     * @param duplicates recognizes late duplicates of responses
      */
     ServerPool(EventLoop loop, SocketLimiter socketLimiter, long connectTimeoutUs, long serverIdleTimeoutUs,
-            long quarantineUs, BooleanSupplier mayWrite) {
+            long quarantineUs, BooleanSupplier mayWrite, DuplicateResponseDetector duplicates) {
         this.loop = loop;
+        this.duplicates = duplicates;
         this.mayWrite = mayWrite;
         this.socketLimiter = socketLimiter;
         quarantineNs = TimeUnit.MICROSECONDS.toNanos(quarantineUs);
@@ -443,6 +452,10 @@
         private ResponseReader responseReader;
         /** Whether the connection can be kept after the present response. */
         private boolean reusable;
+        /** Digest of the latest complete response with status 200, or null. */
+        private ByteBuffer previousDigest;
+        /** Whether a duplicate of the previous response came in place of the present one. */
+        private boolean duplicateReceived;
 
         Connection(Server server, int generation, Channel channel) {
             this.server = server;
@@ -538,13 +551,26 @@
             }
             try {
                 if (message instanceof HttpObject part && responseReader.read(part)) {
-                    reusable = fullyWritten && responseReader.isKeepAlive();
+                    onComplete();
                 }
             } catch (ResponseReader.MalformedResponseException e) {
                 onBroken();
             }
         }
 
+        /** Goes on reading after a late duplicate of the previous response; the connection ends after it. */
+        private void onComplete() {
+            ByteBuffer current = responseReader.status() == HttpResponseStatus.OK.code()
+                    ? duplicates.digestOf(responseReader.toResponse()) : null;
+            if (current != null && duplicates.isDuplicate(previousDigest, current)) {
+                duplicateReceived = true;
+                responseReader = new ResponseReader();
+                return;
+            }
+            previousDigest = current;
+            reusable = fullyWritten && responseReader.isKeepAlive() && !duplicateReceived;
+        }
+
         /**
          * Reports a complete response. Doing so after the whole read shows first whether more data follows
          * the response, which rules out reuse of the connection.
--- a/src/test/java/cedarrelay/node/ServerPoolTest.java
+++ b/src/test/java/cedarrelay/node/ServerPoolTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 
 import cedarrelay.Balancer.Result;
@@ -236,6 +237,28 @@
         assertEquals("11", FakePeer.header(server.nextRequest(), "Content-Length"));
     }
 
+    /** Guards against clients that are served with the responses to other clients' requests. */
+    @Test
+    void aDuplicateResponseAfterTheNextRequestIsNotUsedForIt() throws Exception {
+        AtomicInteger count = new AtomicInteger();
+        server.setScript((socket, request) -> {
+            String last = FakePeer.responseText("200 OK", "", "response " + count.get());
+            String next = FakePeer.responseText("200 OK", "", "response " + count.incrementAndGet());
+            // A server that was paused sends the duplicate before it reads the next request.
+            boolean duplicate = count.get() == DuplicateResponseDetector.MIN_DIFFERENT_RESPONSES + 1;
+            FakePeer.write(socket, duplicate ? last + next : next);
+        });
+        ServerPool pool = pool(server.address(), IDLE_TIMEOUT_US);
+        for (int i = 1; i <= DuplicateResponseDetector.MIN_DIFFERENT_RESPONSES + 2; i++) {
+            RecordingOwner owner = new RecordingOwner(10);
+            start(pool, owner);
+            byte[] body = owner.report().response().body();
+            assertEquals("response " + i, new String(body, StandardCharsets.UTF_8));
+        }
+        FakePeer.awaitNext(server.closedConnections);
+        assertEquals(2, server.acceptedConnections.size(), "connections, one of them with a duplicate");
+    }
+
     @Test
     void aConnectionCarriesTheNextWaitingAttemptAfterItsQuarantine() throws Exception {
         ServerPool pool = pool(server.address(), IDLE_TIMEOUT_US, 50_000);
