Report a call to discovery that failed during a pause as failed, not as unanswered

Cause: Discovery.Watch.onTimeout reads what has arrived first, but went on to report the call as unanswered although what it read was a reset, a close or an error status.

Change: it goes on only if the watch is neither closed nor its channel shut; the close reports the failure.

--- a/src/main/java/cedarrelay/node/Discovery.java
+++ b/src/main/java/cedarrelay/node/Discovery.java
@@ -312,13 +312,17 @@
         }
 
         /**
-         * Handles a timeout. A lagging event loop runs its timers before it reads sockets, so data that has
-         * arrived by now is read first and restarts the timeout.
+         * Handles a timeout. A lagging event loop runs its timers before it reads sockets, so what has
+         * arrived by now is read first: data restarts the timeout, and a failure ends the watch.
          */
         private void onTimeout() {
             ScheduledFuture<?> expired = timeout;
             if (channel != null) {
                 readAvailable();
+                if (closed || !channel.isOpen()) {
+                    // A failed call is not an unanswered one. A channel that has closed reports it later.
+                    return;
+                }
             }
             if (timeout == expired) {
                 if (headReceivedNs == 0) {
