Count no pause of the process for the hold of sends

Cause: MembershipGate ended a hold after 1 s and noticed a pause only if its own timer ran late. A pause that ended before the timer was due counted for the hold although no call to discovery could be made or answered meanwhile.

Change: the hold is counted in timer steps of 50 ms; a step counts for 75 ms at most, however late it ends.

--- a/src/main/java/cedarrelay/node/MembershipGate.java
+++ b/src/main/java/cedarrelay/node/MembershipGate.java
@@ -21,15 +21,16 @@
  * counts as notified only seconds later, and reading what has arrived is enough.
  */
 final class MembershipGate {
-    /**
-     * A list confirmed less than this ago isn't checked again; far shorter than any grace period. Also, if
-     * the timer that ends a hold runs later than this, the process counts as paused.
-     */
+    /** A list confirmed less than this ago isn't checked again; far shorter than any grace period. */
     private static final long FRESH_NS = TimeUnit.MILLISECONDS.toNanos(50);
     /** Part of the grace period reserved for a pause of the process between a check and its write. */
     private static final long GRACE_RESERVE_US = 100_000;
     /** Sends are held back for at most this long; discovery calls without a response time out sooner. */
     private static final long MAX_HOLD_MS = 1_000;
+    /** The time of a hold is counted in steps of this length. */
+    private static final long HOLD_STEP_MS = 50;
+    /** What a step counts at most: if it took longer, the process was paused. */
+    private static final long MAX_HOLD_STEP_MS = 75;
 
     private static final Logger LOG = System.getLogger(MembershipGate.class.getName());
 
@@ -130,29 +131,36 @@
         if (!holding) {
             holding = true;
             holdCount++;
-            scheduleHoldEnd(holdCount);
+            scheduleHoldStep(holdCount, TimeUnit.MILLISECONDS.toNanos(MAX_HOLD_MS));
         }
     }
 
     /**
-     * Ends a hold after {@link #MAX_HOLD_MS}. If the timer runs late, the process was paused, and its
-     * discovery calls with it: the time then starts again.
+     * Ends a hold after {@link #MAX_HOLD_MS}, not counting the time for which the process was paused: its
+     * calls to discovery were paused with it.
      */
-    private void scheduleHoldEnd(int hold) {
-        long dueNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MAX_HOLD_MS);
+    private void scheduleHoldStep(int hold, long remainingNs) {
+        long startNs = System.nanoTime();
+        long stepNs = Math.min(remainingNs, TimeUnit.MILLISECONDS.toNanos(HOLD_STEP_MS));
         loop.schedule(() -> {
             if (!holding || hold != holdCount) {
                 return;
             }
-            if (System.nanoTime() - dueNs > FRESH_NS) {
-                scheduleHoldEnd(hold);
-                return;
+            long leftNs = remainingNs - Math.min(System.nanoTime() - startNs,
+                    TimeUnit.MILLISECONDS.toNanos(MAX_HOLD_STEP_MS));
+            if (leftNs > 0) {
+                scheduleHoldStep(hold, leftNs);
+            } else {
+                endHold();
             }
-            LOG.log(Level.WARNING, "sending by a server list that was last confirmed current {0} ms ago",
-                    Long.toString(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - confirmedNs)));
-            staleSendsAllowed = true;
-            resumeSends();
-        }, MAX_HOLD_MS, TimeUnit.MILLISECONDS);
+        }, stepNs, TimeUnit.NANOSECONDS);
+    }
+
+    private void endHold() {
+        LOG.log(Level.WARNING, "sending by a server list that was last confirmed current {0} ms ago",
+                Long.toString(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - confirmedNs)));
+        staleSendsAllowed = true;
+        resumeSends();
     }
 
     private boolean isCurrent() {
