--- a/src/test/java/cedarrelay/node/ClientMemoryTest.java
+++ b/src/test/java/cedarrelay/node/ClientMemoryTest.java
@@ -10,6 +10,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.AfterEach;
@@ -27,7 +29,12 @@
     private static final int SLOW_WRITERS = 120;
     private static final int LONG_BODY_BYTES = 48_000;
     private static final int BODY_PIECE_BYTES = 80;
+    private static final int CHUNK_WRITERS = 30;
+    private static final int CHUNKS = 60_000;
+    private static final String CHUNK_OF_ONE_BYTE = "1\r\nx\r\n";
     private static final int USUAL_REQUESTS = 50;
+    /** Longest time of a usual request: a short deadline and the half second after which it is lost. */
+    private static final int LOST_AFTER_MS = 1_300;
     /** Within this time of connecting, a client gets an error or a close, whatever it sends. */
     private static final int ERROR_TIMEOUT_MS = 3_000;
 
@@ -118,4 +125,33 @@
         }
         assertEquals(0, node.metric("requests_out_of_memory_total"));
     }
+
+    /** Guards against usual requests that are late as chunks of one byte keep the event loop busy. */
+    @Test
+    void bodiesInChunksOfOneByteDoNotDelayOtherClients() throws Exception {
+        writeAll(CHUNK_WRITERS, "");
+        ExecutorService writers = Executors.newFixedThreadPool(CHUNK_WRITERS);
+        try {
+            for (int i = 0; i < CHUNK_WRITERS; i++) {
+                Socket client = clients.get(i);
+                String head = Fixture.request("POST", "/order", i, "Transfer-Encoding: chunked\r\n", "")
+                        .replace("Content-Length: 0\r\n", "");
+                writers.submit(() -> {
+                    FakePeer.write(client, head + CHUNK_OF_ONE_BYTE.repeat(CHUNKS) + "0\r\n\r\n");
+                    return null;
+                });
+            }
+            for (int i = 0; i < USUAL_REQUESTS; i++) {
+                long startNs = System.nanoTime();
+                try (Socket client = node.connect()) {
+                    FakePeer.write(client, Fixture.request("GET", "/view", 1_000_000 + i, "", ""));
+                    assertTrue(FakePeer.readMessage(client).startsWith("HTTP/1.1 200"));
+                }
+                long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs);
+                assertTrue(tookMs < LOST_AFTER_MS, "a usual request took " + tookMs + " ms");
+            }
+        } finally {
+            writers.shutdownNow();
+        }
+    }
 }
