Compare responses by a checksum, as a cryptographic digest costs too much for each response

Change: DuplicateResponseDetector compares the length and a CRC32C of the bodies. Two different bodies of the same length are equal by it once in 4 billion, and only the previous response of the same connection is compared.

--- a/src/main/java/cedarrelay/node/DuplicateResponseDetector.java
+++ b/src/main/java/cedarrelay/node/DuplicateResponseDetector.java
@@ -1,11 +1,9 @@
 package cedarrelay.node;
 
-import java.nio.ByteBuffer;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.zip.CRC32C;
 
 /**
  * Recognizes a late duplicate of the previous response on a connection, which would otherwise be taken for
@@ -16,12 +14,13 @@
 final class DuplicateResponseDetector {
     /** Different responses in a row from which on equal ones are taken for duplicates. */
     static final int MIN_DIFFERENT_RESPONSES = 256;
-    private static final String DIGEST_ALGORITHM = "SHA-256";
 
-    private final MessageDigest digest = newDigest();
+    /** Stands for the content of a response; a checksum, as it is computed for each response. */
+    record Digest(int length, long checksum) { }
+
     private final Runnable onDuplicate;
     /** Digests of the latest responses, newest last. */
-    private final Set<ByteBuffer> recentDigests = new LinkedHashSet<>();
+    private final Set<Digest> recentDigests = new LinkedHashSet<>();
     /** Latest responses that were all different. */
     private int differentInARow;
 
@@ -30,17 +29,11 @@
         this.onDuplicate = onDuplicate;
     }
 
-    private static MessageDigest newDigest() {
-        try {
-            return MessageDigest.getInstance(DIGEST_ALGORITHM);
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every Java runtime has " + DIGEST_ALGORITHM, e);
-        }
-    }
-
-    /** The digest that stands for the content of a response. */
-    ByteBuffer digestOf(ServerResponse response) {
-        return ByteBuffer.wrap(digest.digest(response.body()));
+    /** The digest of a response. */
+    static Digest digestOf(ServerResponse response) {
+        CRC32C checksum = new CRC32C();
+        checksum.update(response.body());
+        return new Digest(response.body().length, checksum.getValue());
     }
 
     /**
@@ -49,14 +42,14 @@
      *
      * @param previous digest of the previous response on the connection, or null
      */
-    boolean isDuplicate(ByteBuffer previous, ByteBuffer current) {
+    boolean isDuplicate(Digest previous, Digest current) {
         if (differentInARow >= MIN_DIFFERENT_RESPONSES && current.equals(previous)) {
             onDuplicate.run();
             return true;
         }
         differentInARow = recentDigests.add(current) ? differentInARow + 1 : 0;
         if (recentDigests.size() > MIN_DIFFERENT_RESPONSES) {
-            Iterator<ByteBuffer> oldest = recentDigests.iterator();
+            Iterator<Digest> oldest = recentDigests.iterator();
             oldest.next();
             oldest.remove();
         }
--- a/src/main/java/cedarrelay/node/ServerPool.java
+++ b/src/main/java/cedarrelay/node/ServerPool.java
@@ -1,7 +1,6 @@
 package cedarrelay.node;
 
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -453,7 +452,7 @@
         /** Whether the connection can be kept after the present response. */
         private boolean reusable;
         /** Digest of the latest complete response with status 200, or null. */
-        private ByteBuffer previousDigest;
+        private DuplicateResponseDetector.Digest previousDigest;
         /** Whether a duplicate of the previous response came in place of the present one. */
         private boolean duplicateReceived;
 
@@ -560,8 +559,8 @@
 
         /** Goes on reading after a late duplicate of the previous response; the connection ends after it. */
         private void onComplete() {
-            ByteBuffer current = responseReader.status() == HttpResponseStatus.OK.code()
-                    ? duplicates.digestOf(responseReader.toResponse()) : null;
+            DuplicateResponseDetector.Digest current = responseReader.status() == HttpResponseStatus.OK.code()
+                    ? DuplicateResponseDetector.digestOf(responseReader.toResponse()) : null;
             if (current != null && duplicates.isDuplicate(previousDigest, current)) {
                 duplicateReceived = true;
                 responseReader = new ResponseReader();
