--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# A planned restart while plan servers hang and clients write slowly.
+# Clients that stop in the middle of a request, beside usual clients.
 folder="$(cd "$(dirname "$0")" && pwd)"
-exec "$folder/../run-case-2.sh" "$folder" SlowClientAtRestart
+exec "$folder/../run-case-2.sh" "$folder" HalfRequests
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# Answers of plan servers without a length.
+# A planned restart while plan servers hang and clients write slowly.
 folder="$(cd "$(dirname "$0")" && pwd)"
-exec "$folder/../run-case-2.sh" "$folder" NoLength
+exec "$folder/../run-case-2.sh" "$folder" SlowClientAtRestart
