--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# Lists on request: discovery comes back crowded after an outage, while a plan server drains.
+# Clients that stop in the middle of a request, beside usual clients.
 folder="$(cd "$(dirname "$0")" && pwd)"
-exec "$folder/../run-case-2.sh" "$folder" SlowReturn
+exec "$folder/../run-case-2.sh" "$folder" HalfRequests
