Answer requests that arrive during a shutdown before SIGKILL may come

Cause: Node.acceptRequest gave each request its client's full time, also during the shutdown, and SIGKILL doesn't wait for it. Related path: a request still incomplete was waited for until 2 s, so that with short deadlines its last byte could come just before SIGKILL.

Change: GracefulShutdown, taken out of Node, limits the time of requests that arrive after SIGTERM to 0.2 s before the earliest SIGKILL, and rejects what is incomplete then with 503.

--- a/src/main/java/cedarrelay/node/ClientConnection.java
+++ b/src/main/java/cedarrelay/node/ClientConnection.java
@@ -362,6 +362,16 @@
         reject(new BadRequestException(HttpResponseStatus.SERVICE_UNAVAILABLE, "out of memory for requests"));
     }
 
+    /**
+     * Rejects the request that is being read, unless the rest of it has arrived. It has not run, and the
+     * client may try again.
+     */
+    void rejectIfUnfinished(String reason) {
+        if (hasPartialRequest() && isClientConnected() && hasPartialRequest()) {
+            reject(new BadRequestException(HttpResponseStatus.SERVICE_UNAVAILABLE, reason));
+        }
+    }
+
     /** Discards all further input, and releases what has been read of an incomplete request. */
     private void discardInput() {
         discardingInput = true;
--- a/src/main/java/cedarrelay/node/ClientListener.java
+++ b/src/main/java/cedarrelay/node/ClientListener.java
@@ -179,6 +179,13 @@
         return usedConnections.isEmpty() && unusedConnections.isEmpty();
     }
 
+    /** Rejects the requests that are being read; one that is whole once its input is read is handled. */
+    void rejectUnfinishedRequests() {
+        for (Set<ClientConnection> connections : List.of(unusedConnections, usedConnections)) {
+            new ArrayList<>(connections).forEach(connection -> connection.rejectIfUnfinished("stopping"));
+        }
+    }
+
     /** The memory that requests take, over all connections. */
     RequestMemoryBudget requestMemory() {
         return requestMemory;
--- a/src/main/java/cedarrelay/node/Main.java
+++ b/src/main/java/cedarrelay/node/Main.java
@@ -132,8 +132,9 @@
      * makes the exit code 0; otherwise the JVM would exit with 143.
      */
     private static void stop(Node node, EventLoop loop) {
+        long signalledNs = System.nanoTime();
         CountDownLatch stopped = new CountDownLatch(1);
-        loop.execute(() -> node.stop(stopped::countDown));
+        loop.execute(() -> node.stop(signalledNs, stopped::countDown));
         try {
             stopped.await(node.maxStopMs(), TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
--- a/src/main/java/cedarrelay/node/Node.java
+++ b/src/main/java/cedarrelay/node/Node.java
@@ -59,11 +59,6 @@
     private static final long PROBE_TIMEOUT_US = 250_000;
     /** Short, because calls for a pushed list are free and changes during the gap count as notified. */
     private static final long WATCH_RETRY_DELAY_MS = 50;
-    /** New connections arrive for up to 0.4 s after the signal to stop, and their requests shortly after. */
-    private static final long ACCEPT_WHILE_STOPPING_MS = 600;
-    private static final long STOP_POLL_INTERVAL_MS = 10;
-    /** Allows for the connections accepted last, responses still to be read, and event-loop lag. */
-    private static final long STOP_MARGIN_MS = 5_000;
     /** The requests of a busy node in a few seconds, far longer than a duplicate takes to arrive. */
     private static final int MAX_FINISHED_IDS = 4_096;
     /** Tolerated pause of the process between reading its clock and the write. */
@@ -83,6 +78,7 @@
     private final MembershipGate gate;
     private final Discovery discovery;
     private final ClientListener clientListener;
+    private final GracefulShutdown shutdown;
     private final EventLoopLag loopLag;
     private final Metrics metrics = new Metrics();
     private final long startedNs = System.nanoTime();
@@ -292,6 +288,8 @@
                 new DuplicateResponseDetector(() -> metrics.increment(Counter.RESPONSES_DUPLICATE)));
         clientListener = new ClientListener(loop, socketLimiter, loopLag,
                 new ClientRequest.Parser(config.settings()), this::acceptRequest, metrics);
+        shutdown = new GracefulShutdown(loop, clientListener, config.settings().classes.stream()
+                .mapToLong(RequestClass::deadlineUs).max().orElse(0));
         discovery = new Discovery(loop, config.discovery(), config.knownServers().revision(),
                 config.settings().listOnRequest ? Discovery.IDLE_TIMEOUT_MS : Discovery.RESPONSE_TIMEOUT_MS,
                 Discovery.IDLE_TIMEOUT_MS, this);
@@ -394,36 +392,23 @@
         pool.close();
     }
 
-    /**
-     * The maximum duration of {@link #stop}, in milliseconds: requests accepted while stopping still have to
-     * be read and then have their full time.
-     */
+    /** The maximum duration of {@link #stop}, in milliseconds. */
     long maxStopMs() {
-        long longestUs = config.settings().classes.stream().mapToLong(RequestClass::deadlineUs).max()
-                .orElse(0);
-        return ACCEPT_WHILE_STOPPING_MS + longestUs / 1_000 + STOP_MARGIN_MS;
+        return shutdown.maxDurationMs();
     }
 
     /**
-     * Stops accepting connections after a delay, and runs {@code done} once all requests have their responses
-     * and all connections are closed.
+     * Shuts the node down gracefully, and runs {@code done} once all requests have their responses and all
+     * connections are closed.
+     *
+     * @param signalledNs when SIGTERM was received, by {@link System#nanoTime}
      */
-    void stop(Runnable done) {
+    void stop(long signalledNs, Runnable done) {
         LOG.log(Level.INFO, "stopping, {0} requests are pending", pendingRequests.size());
-        clientListener.drain();
-        loop.schedule(() -> {
-            clientListener.stopAccepting();
-            runWhenDone(done);
-        }, ACCEPT_WHILE_STOPPING_MS, TimeUnit.MILLISECONDS);
-    }
-
-    private void runWhenDone(Runnable done) {
-        if (clientListener.closeIdleConnections()) {
+        shutdown.begin(signalledNs, () -> {
             LOG.log(Level.INFO, "stopped: {0}", metrics.summary());
             done.run();
-        } else {
-            loop.schedule(() -> runWhenDone(done), STOP_POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
-        }
+        });
     }
 
     private long nowUs() {
@@ -485,7 +470,7 @@
             return;
         }
         long arrivedUs = toClockUs(exchange.arrivedNs());
-        long remainingUs = request.remainingUs();
+        long remainingUs = shutdown.limitRemainingUs(exchange.arrivedNs(), request.remainingUs());
         PendingRequest accepted = new PendingRequest(exchange,
                 arrivedUs + remainingUs
                         - Math.min(RESPONSE_MARGIN_US, remainingUs / RESPONSE_MARGIN_DIVISOR));
@@ -493,7 +478,7 @@
         metrics.increment(Counter.REQUESTS_TAKEN);
         LOG.log(Level.DEBUG, () -> "request " + hex(request.id()) + " accepted, class " + request.classIndex()
                 + ", " + remainingUs / 1_000 + " ms left");
-        accepted.deadlineTimer = scheduleAt(arrivedUs + request.remainingUs(), () -> expire(accepted));
+        accepted.deadlineTimer = scheduleAt(arrivedUs + remainingUs, () -> expire(accepted));
         exchange.onClientDisconnect(() -> onDisconnect(accepted));
         callBalancer(accepted, () -> {
             long now = nowUs();
--- a/src/test/java/cedarrelay/node/EventLoopLagTest.java
+++ b/src/test/java/cedarrelay/node/EventLoopLagTest.java
@@ -560,7 +560,7 @@
                     requestsSent.countDown();
                     return null;
                 }, 500, TimeUnit.MILLISECONDS);
-                node.stop(done::countDown);
+                node.stop(System.nanoTime(), done::countDown);
                 LoopPause.block(1_000);
             });
             await(requestsSent);
