Reject the longest incomplete requests where sockets run short

Cause: only idle connections were closed to make room, and one with an incomplete request isn't idle; it kept its socket for 2 s.

Change: if none is idle, the connection whose request has been incomplete for longest, and for over 0.1 s, is answered 503 and closed, after its input was read. Two counters: incomplete requests rejected for this, and pauses of accepting. A request that begins in the read that ends another is timed from its own first byte, as the order of the rejections rests on it.

--- a/src/main/java/cedarrelay/node/ClientConnection.java
+++ b/src/main/java/cedarrelay/node/ClientConnection.java
@@ -119,19 +119,17 @@
                 connection.aggregator, connection);
     }
 
-    /** Whether no request is pending, pipelined or partly read and no response is still being written. */
-    boolean isIdle() {
-        return pending == null && unwrittenResponses == 0 && pipelined.isEmpty()
-                && !hasPartialRequest();
+    /** Whether no request is pending or pipelined and no response is still being written. */
+    private boolean owesNothing() {
+        return pending == null && unwrittenResponses == 0 && pipelined.isEmpty();
     }
 
-    private boolean hasPartialRequest() {
-        return decoder != null && decoder.hasPartialRequest();
+    private boolean isIdle() {
+        return owesNothing() && !hasPartialRequest();
     }
 
-    /** Since when an idle connection has been idle, by {@link System#nanoTime}. */
-    long idleSinceNs() {
-        return requestReceived ? respondedNs : openedNs;
+    private boolean hasPartialRequest() {
+        return decoder != null && decoder.hasPartialRequest();
     }
 
     /** Closes the connection, and records a violation if a request that was read is still unanswered. */
@@ -160,11 +158,42 @@
     }
 
     /**
-     * Whether the connection is open and idle after reading the input that has arrived. To be checked
-     * before an idle connection is closed, so that no request is lost.
+     * Closes the connection if it has been idle since before this time, by {@link System#nanoTime}. The input
+     * that has arrived is read first, so that no request is lost.
+     *
+     * @return whether it was closed
+     */
+    boolean closeIfIdle(long beforeNs) {
+        long idleSinceNs = requestReceived ? respondedNs : openedNs;
+        if (idleSinceNs - beforeNs >= 0 || !isIdle() || !isClientConnected() || !isIdle()) {
+            return false;
+        }
+        close();
+        return true;
+    }
+
+    /**
+     * Rejects the request that is being read and closes the connection at once, if the request began before
+     * this time, by {@link System#nanoTime}, and the rest of it has not arrived. The request has not run, and
+     * the client may try again.
+     *
+     * @return whether the connection was closed
      */
-    boolean isIdleAfterReading() {
-        return isClientConnected() && isIdle();
+    boolean closeIfUnfinished(long beforeNs) {
+        if (!isUnfinishedSince(beforeNs) || !isClientConnected() || !isUnfinishedSince(beforeNs)) {
+            return false;
+        }
+        listener.recordRejectionForRoom(channel.remoteAddress());
+        discardInput();
+        closingAfterResponse = true;
+        write(withConnectionClose(errorResponse(new BadRequestException(
+                HttpResponseStatus.SERVICE_UNAVAILABLE, "out of sockets for incomplete requests"))));
+        close();
+        return true;
+    }
+
+    private boolean isUnfinishedSince(long beforeNs) {
+        return owesNothing() && hasPartialRequest() && requestBegunNs != 0 && requestBegunNs - beforeNs < 0;
     }
 
     /** Closes the connection if its client has exceeded a time limit; a partial request is answered 408. */
@@ -238,6 +267,7 @@
             return;
         }
         memory.setUnfinished(0);
+        endUnfinishedRequest();
         long memoryBytes = RequestMemoryBudget.estimateBytes(http);
         if (!memory.tryAddComplete(memoryBytes)) {
             http.release();
@@ -258,12 +288,19 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         if (!hasPartialRequest()) {
-            requestBegunNs = 0;
+            endUnfinishedRequest();
         } else if (requestBegunNs == 0) {
             requestBegunNs = System.nanoTime();
+            listener.requestBegun(this);
         }
     }
 
+    /** Notes that the request that was being read is whole or discarded. */
+    private void endUnfinishedRequest() {
+        requestBegunNs = 0;
+        listener.requestNoLongerUnfinished(this);
+    }
+
     private void handle(FullHttpRequest http, long arrivedNs, long memoryBytes) {
         pendingMemoryBytes = memoryBytes;
         try {
@@ -363,12 +400,12 @@
     }
 
     /**
-     * Rejects the request that is being read, unless the rest of it has arrived. It has not run, and the
-     * client may try again.
+     * Rejects the request that is being read as the node stops, unless the rest of it has arrived. It has not
+     * run, and the client may try again.
      */
-    void rejectIfUnfinished(String reason) {
+    void rejectIfUnfinished() {
         if (hasPartialRequest() && isClientConnected() && hasPartialRequest()) {
-            reject(new BadRequestException(HttpResponseStatus.SERVICE_UNAVAILABLE, reason));
+            reject(new BadRequestException(HttpResponseStatus.SERVICE_UNAVAILABLE, "stopping"));
         }
     }
 
@@ -381,6 +418,7 @@
             aggregator = null;
             decoder = null;
             memory.setUnfinished(0);
+            endUnfinishedRequest();
         }
     }
 
--- a/src/main/java/cedarrelay/node/ClientListener.java
+++ b/src/main/java/cedarrelay/node/ClientListener.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 import cedarrelay.node.Metrics.Counter;
 import io.netty.bootstrap.ServerBootstrap;
@@ -28,7 +29,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.util.concurrent.ScheduledFuture;
 
-/** Accepts client connections; closes those that exceed a time limit, and idle ones if sockets run short. */
+/** Accepts client connections; closes those that exceed a time limit, and others if sockets run short. */
 final class ClientListener {
     private static final Logger LOG = System.getLogger(ClientListener.class.getName());
     private static final String METRICS_PATH = "/metrics";
@@ -47,6 +48,11 @@
     private static final long IDLE_TIMEOUT_NS = TimeUnit.MILLISECONDS.toNanos(2_100);
     /** Connections that have been idle for less than this are not closed to make room or when stopping. */
     private static final long MIN_IDLE_NS = TimeUnit.MILLISECONDS.toNanos(100);
+    /**
+     * Requests that have been incomplete for less than this are not rejected to make room. It bounds the rate
+     * of new connections of clients that come back at once, and how long others wait behind them.
+     */
+    private static final long MIN_UNFINISHED_NS = TimeUnit.MILLISECONDS.toNanos(100);
     /** Interval between the checks for overdue and idle connections. */
     private static final long SWEEP_INTERVAL_MS = 200;
     /** Largest read from a socket: everything that is decoded from one read stays in memory. */
@@ -63,6 +69,8 @@
     private final Set<ClientConnection> usedConnections = new LinkedHashSet<>();
     /** Open connections that have not sent a complete request yet, oldest first. */
     private final Set<ClientConnection> unusedConnections = new LinkedHashSet<>();
+    /** Those of either kind that have sent a part of a request, the part received first at the beginning. */
+    private final Set<ClientConnection> unfinishedConnections = new LinkedHashSet<>();
     private ScheduledFuture<?> sweepTask;
     private Channel listeningChannel;
     private String warmUpToken;
@@ -83,7 +91,7 @@
         this.loopLag = loopLag;
         this.parser = parser;
         this.exchangeHandler = exchangeHandler;
-        socketLimiter.registerClientSide(this::closeOldestIdle, this::resumeAccepting);
+        socketLimiter.registerClientSide(this::closeToMakeRoom, this::resumeAccepting);
     }
 
     /** Binds the address and accepts connections on it; the future fails if the address can't be bound. */
@@ -118,7 +126,8 @@
         }
         boolean closed = true;
         while (closed && socketLimiter.shouldCloseIdleClients()) {
-            closed = closeOldestIdle(usedConnections, nowNs - IDLE_TIMEOUT_NS);
+            closed = closeFirst(usedConnections,
+                    connection -> connection.closeIfIdle(nowNs - IDLE_TIMEOUT_NS));
         }
     }
 
@@ -169,21 +178,14 @@
     boolean closeIdleConnections() {
         long idleBeforeNs = System.nanoTime() - MIN_IDLE_NS;
         for (Set<ClientConnection> connections : List.of(unusedConnections, usedConnections)) {
-            for (ClientConnection connection : new ArrayList<>(connections)) {
-                if (connection.isIdle() && connection.idleSinceNs() - idleBeforeNs < 0
-                        && connection.isIdleAfterReading()) {
-                    connection.close();
-                }
-            }
+            new ArrayList<>(connections).forEach(connection -> connection.closeIfIdle(idleBeforeNs));
         }
         return usedConnections.isEmpty() && unusedConnections.isEmpty();
     }
 
     /** Rejects the requests that are being read; one that is whole once its input is read is handled. */
     void rejectUnfinishedRequests() {
-        for (Set<ClientConnection> connections : List.of(unusedConnections, usedConnections)) {
-            new ArrayList<>(connections).forEach(connection -> connection.rejectIfUnfinished("stopping"));
-        }
+        new ArrayList<>(unfinishedConnections).forEach(ClientConnection::rejectIfUnfinished);
     }
 
     /** The memory that requests take, over all connections. */
@@ -237,6 +239,12 @@
         LOG.log(Level.DEBUG, "no memory for a request of client {0}", client);
     }
 
+    /** Records that an incomplete request was rejected because sockets ran short. */
+    void recordRejectionForRoom(SocketAddress client) {
+        metrics.increment(Counter.REQUESTS_OUT_OF_SOCKETS);
+        LOG.log(Level.DEBUG, "no socket for an incomplete request of client {0}", client);
+    }
+
     /** Parses and checks a request; throws the error to be sent if it can't be forwarded. */
     ClientRequest parseRequest(FullHttpRequest http) throws BadRequestException {
         return parser.parse(http);
@@ -263,30 +271,45 @@
         }
     }
 
+    /** Notes that the connection has sent a part of a request. */
+    void requestBegun(ClientConnection connection) {
+        unfinishedConnections.add(connection);
+    }
+
+    /** Notes that the connection has sent the rest of a request, or that its part is discarded. */
+    void requestNoLongerUnfinished(ClientConnection connection) {
+        unfinishedConnections.remove(connection);
+    }
+
     /** Removes a closed connection; has no effect the second time. */
     void connectionClosed(ClientConnection connection) {
+        unfinishedConnections.remove(connection);
         if (unusedConnections.remove(connection) || usedConnections.remove(connection)) {
             socketLimiter.removeClient();
         }
     }
 
     /**
-     * Closes one idle connection, if there is one. Connections that have never sent a request come first, as
-     * closing another can race with its next request. Connections that were opened or answered only just now
-     * are kept: the kernel may hold their request already, unread while others are accepted.
+     * Closes one connection: an idle one, or else the one whose request has been incomplete for longest. Idle
+     * connections that have never sent a request come first, as closing another can race with its next
+     * request. Connections that were opened or answered only just now are kept: the kernel may hold their
+     * request already, unread while others are accepted.
      */
-    private boolean closeOldestIdle() {
-        long idleBeforeNs = System.nanoTime() - MIN_IDLE_NS;
-        return closeOldestIdle(unusedConnections, idleBeforeNs)
-                || closeOldestIdle(usedConnections, idleBeforeNs);
+    private boolean closeToMakeRoom() {
+        long nowNs = System.nanoTime();
+        long idleBeforeNs = nowNs - MIN_IDLE_NS;
+        return closeFirst(unusedConnections, connection -> connection.closeIfIdle(idleBeforeNs))
+                || closeFirst(usedConnections, connection -> connection.closeIfIdle(idleBeforeNs))
+                || closeFirst(unfinishedConnections,
+                        connection -> connection.closeIfUnfinished(nowNs - MIN_UNFINISHED_NS));
     }
 
-    private boolean closeOldestIdle(Set<ClientConnection> connections, long idleBeforeNs) {
-        // Iterates over a copy, because isIdleAfterReading() may read a request, which moves the connection.
+    /** Closes the first connection for which {@code closeIf} does so; false if there is none. */
+    private boolean closeFirst(Set<ClientConnection> connections, Predicate<ClientConnection> closeIf) {
+        // Iterates over a copy, because reading before a close may complete a request, which moves the
+        // connection.
         for (ClientConnection connection : new ArrayList<>(connections)) {
-            if (connection.isIdle() && connection.idleSinceNs() - idleBeforeNs < 0
-                    && connection.isIdleAfterReading()) {
-                connection.close();
+            if (closeIf.test(connection)) {
                 // Netty calls channelInactive only later, and until then the caller would find no room.
                 connectionClosed(connection);
                 return true;
@@ -298,6 +321,7 @@
     /** Stops accepting for a while; new connections wait in the kernel's accept queue. */
     private void pauseAccepting() {
         if (listeningChannel != null) {
+            metrics.increment(Counter.ACCEPT_PAUSES);
             listeningChannel.config().setAutoRead(false);
             loop.schedule(this::retryAccepting, ACCEPT_RETRY_MS, TimeUnit.MILLISECONDS);
         }
--- a/src/main/java/cedarrelay/node/Metrics.java
+++ b/src/main/java/cedarrelay/node/Metrics.java
@@ -18,6 +18,8 @@
         REQUESTS_FAILED("Requests answered with any other error."),
         REQUESTS_ABANDONED("Requests whose client left before the answer."),
         REQUESTS_OUT_OF_MEMORY("Requests, whole or not, rejected as requests took too much memory."),
+        REQUESTS_OUT_OF_SOCKETS("Incomplete requests rejected to make room for other connections."),
+        ACCEPT_PAUSES("Times that accepting connections was paused for lack of room."),
         ATTEMPTS_STARTED("Attempts that the decision module asked for."),
         ATTEMPTS_WRITTEN("Attempts whose first byte was written to a server."),
         ATTEMPTS_NOT_SENT("Attempts dropped before their first byte, as no longer wanted or allowed."),
