Close a connection to a server after any response but a 200

Cause: a connection was used again 10 ms after any response. A copy that comes later is taken for the response to the next request, which "was rejected" and so is sent elsewhere although it runs. Rejections are all alike, so a copy can't be recognized, and nothing bounds its delay.

Change: only a 200 leaves its connection open.

Cost: one connection more for each of these.

--- a/src/main/java/cedarrelay/node/ServerPool.java
+++ b/src/main/java/cedarrelay/node/ServerPool.java
@@ -451,7 +451,7 @@
         private ResponseReader responseReader;
         /** Whether the connection can be kept after the present response. */
         private boolean reusable;
-        /** Digest of the latest complete response with status 200, or null. */
+        /** Digest of the latest complete response, or null if there was none. */
         private DuplicateResponseDetector.Digest previousDigest;
         /** Whether a duplicate of the previous response came in place of the present one. */
         private boolean duplicateReceived;
@@ -557,11 +557,19 @@
             }
         }
 
-        /** Goes on reading after a late duplicate of the previous response; the connection ends after it. */
+        /**
+         * Goes on reading after a late duplicate of the previous response; the connection ends after it. It
+         * also ends after an error or a rejection, since these are all alike: a late duplicate of one could
+         * not be told from the response to the next request, and that would be sent again although it runs.
+         */
         private void onComplete() {
-            DuplicateResponseDetector.Digest current = responseReader.status() == HttpResponseStatus.OK.code()
-                    ? DuplicateResponseDetector.digestOf(responseReader.toResponse()) : null;
-            if (current != null && duplicates.isDuplicate(previousDigest, current)) {
+            reusable = false;
+            if (responseReader.status() != HttpResponseStatus.OK.code()) {
+                return;
+            }
+            DuplicateResponseDetector.Digest current =
+                    DuplicateResponseDetector.digestOf(responseReader.toResponse());
+            if (duplicates.isDuplicate(previousDigest, current)) {
                 duplicateReceived = true;
                 responseReader = new ResponseReader();
                 return;
--- a/src/test/java/cedarrelay/node/ServerPoolTest.java
+++ b/src/test/java/cedarrelay/node/ServerPoolTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -13,7 +14,9 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -259,6 +262,30 @@
         assertEquals(2, server.acceptedConnections.size(), "connections, one of them with a duplicate");
     }
 
+    /** Guards against a late duplicate of a rejection, by which a request that runs would be sent again. */
+    @ParameterizedTest
+    @ValueSource(strings = {"503 No\r\nX-Turned-Away: 1", "504 No\r\nX-Turned-Away: 1", "500 No", "503 No"})
+    void aLateDuplicateOfAnErrorIsNotTakenForTheNextResponse(String statusAndHeader) throws Exception {
+        String error = "HTTP/1.1 " + statusAndHeader + "\r\nContent-Length: 0\r\n\r\n";
+        AtomicInteger requests = new AtomicInteger();
+        Set<Socket> errorSent = ConcurrentHashMap.newKeySet();
+        server.setScript((socket, request) -> {
+            // The duplicate arrives just after the next request on the connection was written.
+            boolean sendError = requests.incrementAndGet() == 1 || errorSent.contains(socket);
+            if (sendError) {
+                errorSent.add(socket);
+            }
+            FakePeer.write(socket, sendError ? error : FakePeer.responseText("200 OK", "", "hello"));
+        });
+        ServerPool pool = pool(server.address(), IDLE_TIMEOUT_US);
+        RecordingOwner first = new RecordingOwner(10);
+        start(pool, first);
+        assertNotEquals(Result.OK, first.report().result());
+        RecordingOwner second = new RecordingOwner(11);
+        start(pool, second);
+        assertEquals(Result.OK, second.report().result());
+    }
+
     @Test
     void aConnectionCarriesTheNextWaitingAttemptAfterItsQuarantine() throws Exception {
         ServerPool pool = pool(server.address(), IDLE_TIMEOUT_US, 50_000);
