Make a second call beside one that a requested discovery leaves unanswered

Cause: after an unanswered call three calls in four were given up after 0.15 s, which fits an agent on the same machine and no slow service. Waiting 3 s for each isn't enough either: with the backoff and an answer of 1.7 s that is 6.2 s. Related: 3 s for a silent watch, backoff, answer after 2.9 s.

Change: DiscoveryTimeouts has the times of pushed and requested lists. For requested ones each call waits 3 s, a second one is made after 1.5 s without a response or 2.5 s of silence, and the one that gets data first is kept: at most two at a time.

MainTest failed once with "failed" in the log line of a silent watch; it is worded and counted apart now.

--- a/src/main/java/cedarrelay/ServiceQBalancer.java
+++ b/src/main/java/cedarrelay/ServiceQBalancer.java
@@ -120,9 +120,8 @@
     private static final double QUOTA_BURST_S = 1;
     /** Backoff before the first retry of a failed list request; doubled with each failure. */
     private static final long MIN_LIST_BACKOFF_US = 250_000;
-    /** Longest backoff; jitter lengthens or shortens it by up to a half. The 3 s timeout of a list request,
-     * this backoff and the response to the next request together stay below the 6 s after which a node counts
-     * as notified of a change. */
+    /** Longest backoff; jitter changes it by up to a half. With the response to the next request
+     * it stays below the 6 s after which a node counts as notified of a change. */
     private static final long MAX_LIST_BACKOFF_US = 1_000_000;
 
     private static final Comparator<PendingRequest> BY_PRIORITY =
--- a/src/main/java/cedarrelay/node/Discovery.java
+++ b/src/main/java/cedarrelay/node/Discovery.java
@@ -32,31 +32,16 @@
 /**
  * Client of discovery: keeps one watch on the server list open, on which discovery streams the list and its
  * changes. A watch that fails is reported once and is not reopened until the next call of {@link #subscribe}
- * or {@link #keepSubscribed}.
+ * or {@link #keepSubscribed}. If the timeouts allow it, a second watch is opened beside one that is silent;
+ * the first of the two that receives data is kept.
  *
  * <p>Not thread-safe: all methods are called on the event loop.
  */
 final class Discovery {
-    /**
-     * Idle timeout of a watch, which receives at least a heartbeat every 2 s. A change that a silent watch
-     * misses counts as notified after 6 s, and {@code rules.drainGraceUs} later no request may be sent by the
-     * outdated list. By then a new watch has to be answered, which may be slow if lists come on request
-     * ({@code membershipMode} in the settings).
-     */
-    static final long IDLE_TIMEOUT_MS = 3_000;
-    /**
-     * Response timeout of a call if lists are pushed: discovery's agent on this machine then begins its
-     * response at once or not at all.
-     */
-    static final long RESPONSE_TIMEOUT_MS = 400;
     /** Longest gap between two parts of a message; a message that is cut short is never completed. */
     private static final long MAX_MESSAGE_GAP_MS = 250;
-    /**
-     * Response timeout of a call that follows an unanswered one. It is short because discovery may respond
-     * again at any moment. Also the time after which a call without a response is first reported by
-     * {@link Listener#onNoResponse}.
-     */
-    private static final long REPEATED_CALL_TIMEOUT_MS = 150;
+    /** Time without a response after which {@link Listener#onNoResponse} is first called. */
+    private static final long NO_RESPONSE_REPORT_MS = 150;
     /** Among unanswered calls, one in this many has the full response timeout: discovery may just be slow. */
     private static final int CALLS_PER_FULL_TIMEOUT = 4;
     /** If a response has no content this long after its head, discovery has no change to report. */
@@ -78,6 +63,9 @@
         /** The watch could not be opened or has ended; reported once for each watch. */
         void onWatchFailed(String reason);
 
+        /** A watch was silent for so long that a second one was opened beside it. */
+        default void onWatchSilent() { }
+
         /**
          * Discovery has not responded to a call in time or could not be connected to, so it had no update to
          * report at the time of the call. May be called more than once for a call, and at the latest right
@@ -91,43 +79,68 @@
     private final EventLoop loop;
     private InetSocketAddress address;
     private final Listener listener;
-    private final long responseTimeoutMs;
-    private final long idleTimeoutMs;
+    private final DiscoveryTimeouts timeouts;
     /** Revision of the latest list, after which a watch continues; or {@link #NO_REVISION}. */
     private long revision;
     /** Consecutive calls that timed out without a response. */
     private int unansweredCalls;
+    /** The watch that was opened last; null if it has failed, or none was opened. */
     private Watch watch;
+    /** A silent watch that was opened before {@link #watch}, or null. */
+    private Watch silentWatch;
 
     /**
      * Creates a client without an open watch.
      *
      * @param revision the revision of the known list; the watch reports later changes
-     * @param responseTimeoutMs the time for the response to a call to begin, in milliseconds
-     * @param idleTimeoutMs the longest time without data on an open watch, in milliseconds
      */
-    Discovery(EventLoop loop, InetSocketAddress address, long revision, long responseTimeoutMs,
-            long idleTimeoutMs, Listener listener) {
+    Discovery(EventLoop loop, InetSocketAddress address, long revision, DiscoveryTimeouts timeouts,
+            Listener listener) {
         this.loop = loop;
         this.address = address;
         this.revision = revision;
-        this.responseTimeoutMs = responseTimeoutMs;
-        this.idleTimeoutMs = idleTimeoutMs;
+        this.timeouts = timeouts;
         this.listener = listener;
     }
 
     /**
-     * Opens a watch, which replaces one that is still open. It reports the changes after the latest known
-     * revision, or the full list if none is known.
+     * Opens a watch, which replaces one that is still open: at once, or if a second watch is allowed, when it
+     * receives data. A call that still waits for its response, before a second one is due, is not replaced.
+     * The watch reports the changes after the latest known revision, or the full list if none is known.
      */
     void subscribe() {
-        if (watch != null) {
-            watch.close();
+        if (watch == null || !timeouts.allowSecondCall()) {
+            close();
+            watch = new Watch();
+            watch.open();
+        } else if (!watch.isSecondCallPending()) {
+            openSecondWatch();
         }
+    }
+
+    private void openSecondWatch() {
+        closeSilentWatch();
+        silentWatch = watch;
         watch = new Watch();
         watch.open();
     }
 
+    private void closeSilentWatch() {
+        if (silentWatch != null) {
+            silentWatch.close();
+            silentWatch = null;
+        }
+    }
+
+    /** Closes the other watch, as this one has received data. */
+    private void keepOnly(Watch answered) {
+        if (answered == silentWatch) {
+            silentWatch = watch;
+            watch = answered;
+        }
+        closeSilentWatch();
+    }
+
     /** Opens a watch unless there is one. */
     void keepSubscribed() {
         if (watch == null) {
@@ -143,12 +156,14 @@
         if (!newAddress.equals(address)) {
             address = newAddress;
             revision = NO_REVISION;
+            close();
             subscribe();
         }
     }
 
     /** Closes the watch without a report. */
     void close() {
+        closeSilentWatch();
         if (watch != null) {
             watch.close();
             watch = null;
@@ -162,6 +177,9 @@
      * @return whether the list is current: the watch is open, answered and read to the end of a message
      */
     boolean readAvailable() {
+        if (silentWatch != null && silentWatch.channel != null) {
+            silentWatch.readAvailable();
+        }
         Watch current = watch;
         if (current == null || current.channel == null) {
             return false;
@@ -189,10 +207,12 @@
         private final MessageDecoder messageDecoder = new MessageDecoder();
         private Channel channel;
         private ScheduledFuture<?> timeout;
+        /** Opens a second watch; null if that is not allowed. */
+        private ScheduledFuture<?> secondCallTimer;
         private long receivedBytes;
         /** Response timeout of this call. */
-        private final long callTimeoutMs = unansweredCalls % CALLS_PER_FULL_TIMEOUT == 0 ? responseTimeoutMs
-                : Math.min(responseTimeoutMs, REPEATED_CALL_TIMEOUT_MS);
+        private final long callTimeoutMs = unansweredCalls % CALLS_PER_FULL_TIMEOUT == 0
+                ? timeouts.responseMs() : timeouts.repeatedResponseMs();
         private long requestedNs = System.nanoTime();
         /** When the head of the response was received, by {@link System#nanoTime}; 0 before. */
         private long headReceivedNs;
@@ -208,6 +228,7 @@
 
         void open() {
             restartTimeout(callTimeoutMs);
+            restartSecondCallTimer(timeouts.secondCallMs());
             NioSocketChannel newChannel;
             try {
                 newChannel = new NioSocketChannel();
@@ -245,12 +266,15 @@
             // Lag of this node's own event loop before this moment must not count as a missing response.
             // The first timeout comes early, for an early onNoResponse(); it is extended to callTimeoutMs.
             requestedNs = System.nanoTime();
-            restartTimeout(REPEATED_CALL_TIMEOUT_MS);
+            restartTimeout(Math.min(callTimeoutMs, NO_RESPONSE_REPORT_MS));
         }
 
         void close() {
             closed = true;
             timeout.cancel(false);
+            if (secondCallTimer != null) {
+                secondCallTimer.cancel(false);
+            }
             if (channel != null) {
                 channel.close();
             }
@@ -261,7 +285,13 @@
                 return;
             }
             close();
-            watch = null;
+            if (this == silentWatch) {
+                // A newer watch is open.
+                silentWatch = null;
+                return;
+            }
+            watch = silentWatch;
+            silentWatch = null;
             listener.onWatchFailed(reason);
         }
 
@@ -284,7 +314,7 @@
                 }
                 headReceivedNs = System.nanoTime();
                 unansweredCalls = 0;
-                restartTimeout(idleTimeoutMs);
+                onData(timeouts.idleMs());
             }
             if (message instanceof HttpContent content) {
                 if (content.decoderResult().isFailure()) {
@@ -298,12 +328,48 @@
                 if (message instanceof LastHttpContent) {
                     fail("discovery ended the response");
                 } else if (!closed) {
-                    restartTimeout(messageDecoder.isMidMessage()
-                            ? Math.min(idleTimeoutMs, MAX_MESSAGE_GAP_MS) : idleTimeoutMs);
+                    onData(messageDecoder.isMidMessage()
+                            ? Math.min(timeouts.idleMs(), MAX_MESSAGE_GAP_MS) : timeouts.idleMs());
                 }
             }
         }
 
+        private void onData(long timeoutMs) {
+            restartTimeout(timeoutMs);
+            restartSecondCallTimer(timeouts.secondCallIdleMs());
+            keepOnly(this);
+        }
+
+        private void restartSecondCallTimer(long ms) {
+            if (secondCallTimer != null) {
+                secondCallTimer.cancel(false);
+            }
+            if (timeouts.allowSecondCall()) {
+                secondCallTimer = loop.schedule(this::onSecondCallDue, ms, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        /** Whether the call waits for its response, and a second one will be made if it goes on to do so. */
+        boolean isSecondCallPending() {
+            return headReceivedNs == 0 && secondCallTimer != null && !secondCallTimer.isDone();
+        }
+
+        /** Opens a second watch, unless data or a failure lies unread since the event loop lags. */
+        private void onSecondCallDue() {
+            ScheduledFuture<?> expired = secondCallTimer;
+            if (channel != null) {
+                readAvailable();
+                if (!channel.isOpen()) {
+                    fail("connection to discovery closed");
+                    return;
+                }
+            }
+            if (!closed && this == watch && secondCallTimer == expired) {
+                listener.onWatchSilent();
+                openSecondWatch();
+            }
+        }
+
         private void restartTimeout(long ms) {
             if (timeout != null) {
                 timeout.cancel(false);
--- a/src/main/java/cedarrelay/node/Metrics.java
+++ b/src/main/java/cedarrelay/node/Metrics.java
@@ -27,6 +27,7 @@
         RESPONSES_DUPLICATE("Late duplicates of a server's previous response, discarded."),
         LISTS_APPLIED("Messages of discovery taken into the server list."),
         WATCH_FAILURES("Watches that could not be opened or that ended."),
+        WATCHES_SILENT("Watches that were silent, so that a second one was opened."),
         SENDS_HELD("Times that a send had to wait until the server list was known to be current."),
         EVENT_LOOP_ERRORS("Errors of the event loop after which it went on."),
         VIOLATIONS_STALE_LIST("Sends by a list older than the grace of a drain."),
--- a/src/main/java/cedarrelay/node/Node.java
+++ b/src/main/java/cedarrelay/node/Node.java
@@ -291,8 +291,8 @@
         shutdown = new GracefulShutdown(loop, clientListener, config.settings().classes.stream()
                 .mapToLong(RequestClass::deadlineUs).max().orElse(0));
         discovery = new Discovery(loop, config.discovery(), config.knownServers().revision(),
-                config.settings().listOnRequest ? Discovery.IDLE_TIMEOUT_MS : Discovery.RESPONSE_TIMEOUT_MS,
-                Discovery.IDLE_TIMEOUT_MS, this);
+                config.settings().listOnRequest ? DiscoveryTimeouts.ON_REQUEST : DiscoveryTimeouts.PUSHED,
+                this);
     }
 
     /**
@@ -648,12 +648,22 @@
         gate.confirmCurrent(asOfNs);
     }
 
+    @Override
+    public void onWatchSilent() {
+        metrics.increment(Counter.WATCHES_SILENT);
+        logWatchTrouble("the watch on the server list is silent, a second one is opened");
+    }
+
+    /** Logs only the first trouble in a row at INFO: while discovery is down, it is called continually. */
+    private void logWatchTrouble(String line) {
+        LOG.log(watchFailing ? Level.DEBUG : Level.INFO, line);
+        watchFailing = true;
+    }
+
     @Override
     public void onWatchFailed(String reason) {
         metrics.increment(Counter.WATCH_FAILURES);
-        // Only the first failure in a row at INFO: while discovery is down, the watch is retried continually.
-        LOG.log(watchFailing ? Level.DEBUG : Level.INFO, "the watch on the server list failed: {0}", reason);
-        watchFailing = true;
+        logWatchTrouble("the watch on the server list failed: " + reason);
         callBalancer(null, () -> balancer.onListFailed(nowUs()));
         if (!config.settings().listOnRequest) {
             loop.schedule(discovery::keepSubscribed, WATCH_RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
--- a/src/test/java/cedarrelay/node/DiscoveryTest.java
+++ b/src/test/java/cedarrelay/node/DiscoveryTest.java
@@ -87,9 +87,16 @@
     }
 
     private Discovery subscribe(long idleTimeoutMs) throws Exception {
+        DiscoveryTimeouts pushed = DiscoveryTimeouts.PUSHED;
+        return subscribe(new DiscoveryTimeouts(Math.min(idleTimeoutMs, pushed.responseMs()),
+                pushed.repeatedResponseMs(), idleTimeoutMs, pushed.secondCallMs(),
+                pushed.secondCallIdleMs()));
+    }
+
+    private Discovery subscribe(DiscoveryTimeouts timeouts) throws Exception {
         EventLoop loop = group.next();
-        Discovery discovery = new Discovery(loop, new InetSocketAddress("127.0.0.1", port), 41,
-                Math.min(idleTimeoutMs, Discovery.RESPONSE_TIMEOUT_MS), idleTimeoutMs, this);
+        Discovery discovery =
+                new Discovery(loop, new InetSocketAddress("127.0.0.1", port), 41, timeouts, this);
         loop.submit(discovery::subscribe).get();
         return discovery;
     }
@@ -240,7 +247,7 @@
             } catch (InterruptedException e) {
                 throw new AssertionError(e);
             }
-            LoopPause.block(Discovery.RESPONSE_TIMEOUT_MS);
+            LoopPause.block(DiscoveryTimeouts.PUSHED.responseMs());
         });
     }
 
--- a/src/test/java/cedarrelay/node/DrainNotificationDeadlineTest.java
+++ b/src/test/java/cedarrelay/node/DrainNotificationDeadlineTest.java
@@ -16,6 +16,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -31,6 +32,8 @@
     private static final int NOTIFIED_AFTER_MS = 6_000;
     /** How long a node waits for discovery before it uses the known list of its configuration. */
     private static final int STARTUP_WAIT_MS = 1_500;
+    private static final int SILENT_OUTAGE_MS = 6_500;
+    private static final int SLOWEST_ANSWER_MS = 2_900;
     /** Calls that fail before one is answered, so that the delay between calls has grown by then. */
     private static final int FAILED_CALLS = 3;
 
@@ -143,4 +146,31 @@
         discovery = new FakePeer(discoveryPort, this::sendDrain);
         assertSendsStopInTime(port);
     }
+
+    /** Guards against calls that are given up before a discovery that was silent and is now slow answers. */
+    @ParameterizedTest
+    @ValueSource(ints = {1_000, 1_700, 2_900})
+    void sendsToADrainingServerStopInTimeWhereDiscoveryReturnsSlow(int answerDelayMs) throws Exception {
+        int port = start("on_request", 0);
+        TimeUnit.MILLISECONDS.sleep(SILENT_OUTAGE_MS);
+        // Calls that were received before stay without an answer.
+        discovery.setScript((watch, call) -> {
+            TimeUnit.MILLISECONDS.sleep(answerDelayMs);
+            sendDrain(watch, call);
+        });
+        assertSendsStopInTime(port);
+    }
+
+    /** Guards against an outdated list for over 6 s, as a watch fell silent and the next call is slow. */
+    @Test
+    void sendsToADrainingServerStopInTimeAfterASilentWatchAndASlowCall() throws Exception {
+        discovery.setScript((watch, call) -> Fixture.sendWatchHead(watch));
+        int port = start("on_request", 0);
+        discovery.nextRequest();
+        discovery.setScript((watch, call) -> {
+            TimeUnit.MILLISECONDS.sleep(SLOWEST_ANSWER_MS);
+            sendDrain(watch, call);
+        });
+        assertSendsStopInTime(port);
+    }
 }
--- a/src/test/java/cedarrelay/node/MembershipGateTest.java
+++ b/src/test/java/cedarrelay/node/MembershipGateTest.java
@@ -61,7 +61,7 @@
         loop.submit(() -> {
             lag.start();
             discovery = new Discovery(loop, new InetSocketAddress("127.0.0.1", peer.port()), 41,
-                    Discovery.RESPONSE_TIMEOUT_MS, Discovery.IDLE_TIMEOUT_MS, this);
+                    DiscoveryTimeouts.PUSHED, this);
             gate = new MembershipGate(loop, new Metrics(), true, GRACE_US, lag::lagUs, this::attemptSend);
             gate.setSource(discovery);
             discovery.subscribe();
--- a/src/test/java/cedarrelay/node/TimedDiscovery.java
+++ b/src/test/java/cedarrelay/node/TimedDiscovery.java
@@ -30,7 +30,8 @@
     private static final long MAX_RESPONSE_DELAY_NS = TimeUnit.MILLISECONDS.toNanos(100);
     private static final int POLL_INTERVAL_MS = 1;
     private static final long HEARTBEAT_INTERVAL_NS = TimeUnit.MILLISECONDS.toNanos(500);
-    private static final long IDLE_TIMEOUT_NS = TimeUnit.MILLISECONDS.toNanos(Discovery.IDLE_TIMEOUT_MS);
+    private static final long IDLE_TIMEOUT_NS =
+            TimeUnit.MILLISECONDS.toNanos(DiscoveryTimeouts.PUSHED.idleMs());
     private static final int BACKLOG = 50;
     private static final int BUFFER_BYTES = 8_192;
     private static final String HEAD_END = "\r\n\r\n";
