Forward responses without a length that end with an orderly close

Cause: ResponseReader took the end of such a response for that of a server that dies half way. But then the connection is reset, which Netty reports as an error of the channel before it closes it; its decoder reports the end of the response for an orderly close only.

Change: such a response is complete with the orderly close.

--- a/src/main/java/cedarrelay/node/ResponseReader.java
+++ b/src/main/java/cedarrelay/node/ResponseReader.java
@@ -122,10 +122,8 @@
             bodyBytes = 0;
             return;
         }
-        if (head.status().code() == 200 && !isFramed()) {
-            // Its body ends with the connection, which looks the same if the server dies half way.
-            throw new MalformedResponseException();
-        }
+        // Without a length, the body ends with the connection. Netty's decoder reports that end for an orderly
+        // close only: the connection of a server that dies half way is reset, an error of the channel.
         complete = true;
     }
 
