--- a/src/main/java/cedarrelay/node/ResponseReader.java
+++ b/src/main/java/cedarrelay/node/ResponseReader.java
@@ -122,8 +122,8 @@
             bodyBytes = 0;
             return;
         }
-        // Without a length, the body ends with the connection. Netty's decoder reports that end for an orderly
-        // close only: the connection of a server that dies half way is reset, an error of the channel.
+        // Without a length, the body ends with the connection. Netty's decoder reports that end only for an
+        // orderly close: the connection of a server that dies half way is reset, an error of the channel.
         complete = true;
     }
 
