Share the delegation of the I/O handlers, and the check before a watch's timers

Cause: three I/O handlers repeated the same six methods, and two timers of a watch the same read before they act.

--- a/src/main/java/cedarrelay/node/Discovery.java
+++ b/src/main/java/cedarrelay/node/Discovery.java
@@ -357,14 +357,7 @@
         /** Opens a second watch, unless data or a failure lies unread since the event loop lags. */
         private void onSecondCallDue() {
             ScheduledFuture<?> expired = secondCallTimer;
-            if (channel != null) {
-                readAvailable();
-                if (!channel.isOpen()) {
-                    fail("connection to discovery closed");
-                    return;
-                }
-            }
-            if (!closed && this == watch && secondCallTimer == expired) {
+            if (isOpenAfterReading() && this == watch && secondCallTimer == expired) {
                 listener.onWatchSilent();
                 openSecondWatch();
             }
@@ -383,18 +376,7 @@
          */
         private void onTimeout() {
             ScheduledFuture<?> expired = timeout;
-            if (channel != null) {
-                readAvailable();
-                if (!channel.isOpen()) {
-                    // A failed call is not an unanswered one.
-                    fail("connection to discovery closed");
-                    return;
-                }
-                if (closed) {
-                    return;
-                }
-            }
-            if (timeout == expired) {
+            if (isOpenAfterReading() && timeout == expired) {
                 if (headReceivedNs == 0) {
                     // Holds however late this timer runs: discovery did not respond when it was called.
                     listener.onNoResponse(requestedNs);
@@ -409,6 +391,20 @@
             }
         }
 
+        /**
+         * Reads what has arrived, and returns whether the watch is still open. It fails if its connection is
+         * found closed: a failed call is not an unanswered one.
+         */
+        private boolean isOpenAfterReading() {
+            if (channel != null) {
+                readAvailable();
+                if (!channel.isOpen()) {
+                    fail("connection to discovery closed");
+                }
+            }
+            return !closed;
+        }
+
         /** Reads from the socket until nothing more has arrived. */
         private void readAvailable() {
             long previousBytes = -1;
--- a/src/main/java/cedarrelay/node/ErrorTolerantIoHandler.java
+++ b/src/main/java/cedarrelay/node/ErrorTolerantIoHandler.java
@@ -2,27 +2,24 @@
 
 import java.util.function.Consumer;
 
-import io.netty.channel.IoHandle;
 import io.netty.channel.IoHandler;
 import io.netty.channel.IoHandlerContext;
 import io.netty.channel.IoHandlerFactory;
-import io.netty.channel.IoRegistration;
 
 /**
  * An I/O handler that goes on after an error. Netty ends the event loop's thread if an {@code Error}, such as
  * an OutOfMemoryError, is thrown while it waits for or handles I/O outside a channel's handlers; all requests
  * would be lost with it. Events that were not handled are reported again by the next selection.
  */
-final class ErrorTolerantIoHandler implements IoHandler {
+final class ErrorTolerantIoHandler extends DelegatingIoHandler {
     /** Failed runs in a row after which the event loop may end, as it seems unable to make any progress. */
     static final int MAX_CONSECUTIVE_ERRORS = 16;
 
-    private final IoHandler delegate;
     private final Consumer<Throwable> onError;
     private int consecutiveErrors;
 
     private ErrorTolerantIoHandler(IoHandler delegate, Consumer<Throwable> onError) {
-        this.delegate = delegate;
+        super(delegate);
         this.onError = onError;
     }
 
@@ -54,34 +51,4 @@
             return;
         }
     }
-
-    @Override
-    public void initialize() {
-        delegate.initialize();
-    }
-
-    @Override
-    public void prepareToDestroy() {
-        delegate.prepareToDestroy();
-    }
-
-    @Override
-    public void destroy() {
-        delegate.destroy();
-    }
-
-    @Override
-    public IoRegistration register(IoHandle handle) throws Exception {
-        return delegate.register(handle);
-    }
-
-    @Override
-    public void wakeup() {
-        delegate.wakeup();
-    }
-
-    @Override
-    public boolean isCompatible(Class<? extends IoHandle> type) {
-        return delegate.isCompatible(type);
-    }
 }
--- a/src/main/java/cedarrelay/node/RoundedUpIoHandler.java
+++ b/src/main/java/cedarrelay/node/RoundedUpIoHandler.java
@@ -2,11 +2,9 @@
 
 import java.util.concurrent.TimeUnit;
 
-import io.netty.channel.IoHandle;
 import io.netty.channel.IoHandler;
 import io.netty.channel.IoHandlerContext;
 import io.netty.channel.IoHandlerFactory;
-import io.netty.channel.IoRegistration;
 import io.netty.channel.nio.NioIoHandler;
 
 /**
@@ -14,14 +12,12 @@
  * the nearest millisecond, so the event loop can wake up to half a millisecond early and then spins until the
  * timer is due. On a node with queued requests, with a timer every few milliseconds, this wastes CPU time.
  */
-final class RoundedUpIoHandler implements IoHandler {
+final class RoundedUpIoHandler extends DelegatingIoHandler {
     /** With the half millisecond that Netty adds, this rounds a part of a millisecond up to a whole one. */
     private static final long ROUND_UP_NS = TimeUnit.MILLISECONDS.toNanos(1) / 2 - 1;
 
-    private final IoHandler delegate;
-
     private RoundedUpIoHandler(IoHandler delegate) {
-        this.delegate = delegate;
+        super(delegate);
     }
 
     /** Returns a factory for {@code MultiThreadIoEventLoopGroup}, in place of {@link NioIoHandler}'s own. */
@@ -35,36 +31,6 @@
         return delegate.run(new RoundedUpContext(context));
     }
 
-    @Override
-    public void initialize() {
-        delegate.initialize();
-    }
-
-    @Override
-    public void prepareToDestroy() {
-        delegate.prepareToDestroy();
-    }
-
-    @Override
-    public void destroy() {
-        delegate.destroy();
-    }
-
-    @Override
-    public IoRegistration register(IoHandle handle) throws Exception {
-        return delegate.register(handle);
-    }
-
-    @Override
-    public void wakeup() {
-        delegate.wakeup();
-    }
-
-    @Override
-    public boolean isCompatible(Class<? extends IoHandle> type) {
-        return delegate.isCompatible(type);
-    }
-
     /** The event loop's context, with a longer delay to a timer that is not due yet. */
     private record RoundedUpContext(IoHandlerContext delegate) implements IoHandlerContext {
         @Override
--- a/src/test/java/cedarrelay/node/PausableIoHandler.java
+++ b/src/test/java/cedarrelay/node/PausableIoHandler.java
@@ -2,11 +2,9 @@
 
 import java.util.function.IntConsumer;
 
-import io.netty.channel.IoHandle;
 import io.netty.channel.IoHandler;
 import io.netty.channel.IoHandlerContext;
 import io.netty.channel.IoHandlerFactory;
-import io.netty.channel.IoRegistration;
 import io.netty.channel.nio.NioIoHandler;
 
 /**
@@ -14,12 +12,11 @@
  * that blocks stands for a pause of the process at this point: what arrives meanwhile is still unread when
  * the timers run.
  */
-final class PausableIoHandler implements IoHandler {
-    private final IoHandler delegate;
+final class PausableIoHandler extends DelegatingIoHandler {
     private final IntConsumer afterRun;
 
     private PausableIoHandler(IoHandler delegate, IntConsumer afterRun) {
-        this.delegate = delegate;
+        super(delegate);
         this.afterRun = afterRun;
     }
 
@@ -44,34 +41,4 @@
         afterRun.accept(handledEvents);
         return handledEvents;
     }
-
-    @Override
-    public void initialize() {
-        delegate.initialize();
-    }
-
-    @Override
-    public void prepareToDestroy() {
-        delegate.prepareToDestroy();
-    }
-
-    @Override
-    public void destroy() {
-        delegate.destroy();
-    }
-
-    @Override
-    public IoRegistration register(IoHandle handle) throws Exception {
-        return delegate.register(handle);
-    }
-
-    @Override
-    public void wakeup() {
-        delegate.wakeup();
-    }
-
-    @Override
-    public boolean isCompatible(Class<? extends IoHandle> type) {
-        return delegate.isCompatible(type);
-    }
 }
