--- a/src/main/java/cedarrelay/node/BadRequestException.java
+++ b/src/main/java/cedarrelay/node/BadRequestException.java
@@ -2,7 +2,7 @@
 
 import io.netty.handler.codec.http.HttpResponseStatus;
 
-/** A client's request that is rejected with a 4xx status; the message is the reason sent to the client. */
+/** A client's request that is rejected with an error status; the message is the reason sent to the client. */
 final class BadRequestException extends Exception {
     private static final long serialVersionUID = 1;
 
--- a/src/main/java/cedarrelay/node/ClientConnection.java
+++ b/src/main/java/cedarrelay/node/ClientConnection.java
@@ -21,8 +21,6 @@
 import io.netty.handler.codec.http.FullHttpMessage;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
@@ -30,8 +28,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 
 /**
@@ -193,7 +189,7 @@
         listener.recordRejectionForRoom(channel.remoteAddress());
         discardInput();
         closingAfterResponse = true;
-        write(withConnectionClose(errorResponse(new BadRequestException(
+        write(ErrorResponses.withConnectionClose(ErrorResponses.of(new BadRequestException(
                 HttpResponseStatus.SERVICE_UNAVAILABLE, "out of sockets for incomplete requests"))));
         close();
         return true;
@@ -323,7 +319,7 @@
         pendingMemoryBytes = memoryBytes;
         try {
             if (http.decoderResult().isFailure()) {
-                reject(decodingError(http.decoderResult().cause()));
+                reject(ErrorResponses.decodingError(http.decoderResult().cause()));
                 return;
             }
             boolean keepAlive = HttpUtil.isKeepAlive(http);
@@ -349,7 +345,7 @@
     }
 
     private void respondWithError(BadRequestException e, FullHttpRequest http) {
-        FullHttpResponse response = errorResponse(e);
+        FullHttpResponse response = ErrorResponses.of(e);
         boolean isHead = http.method().equals(HttpMethod.HEAD);
         if (isHead) {
             // A response to HEAD has no body, whatever its Content-Length says.
@@ -361,37 +357,18 @@
     private FullHttpResponse metricsResponse(FullHttpRequest http) {
         return http.method().equals(HttpMethod.GET)
                 ? Exchange.plainTextResponse(HttpResponseStatus.OK, listener.metrics())
-                : errorResponse(new BadRequestException(HttpResponseStatus.METHOD_NOT_ALLOWED, "use GET"));
+                : ErrorResponses.methodNotAllowed("GET");
     }
 
     private FullHttpResponse readyResponse(FullHttpRequest http) {
         if (!http.method().equals(HttpMethod.GET)) {
-            return errorResponse(new BadRequestException(HttpResponseStatus.METHOD_NOT_ALLOWED, "use GET"));
+            return ErrorResponses.methodNotAllowed("GET");
         }
         String notReadyReason = listener.notReadyReason();
         return notReadyReason == null ? Exchange.plainTextResponse(HttpResponseStatus.OK, "ready")
                 : Exchange.plainTextResponse(HttpResponseStatus.SERVICE_UNAVAILABLE, notReadyReason);
     }
 
-    private static FullHttpResponse errorResponse(BadRequestException e) {
-        FullHttpResponse response = Exchange.plainTextResponse(e.status(), e.getMessage());
-        if (e.status().equals(HttpResponseStatus.METHOD_NOT_ALLOWED)) {
-            response.headers().set(HttpHeaderNames.ALLOW, e.getMessage().replace("use ", ""));
-        }
-        return response;
-    }
-
-    private static BadRequestException decodingError(Throwable cause) {
-        if (cause instanceof TooLongHttpLineException) {
-            return new BadRequestException(HttpResponseStatus.REQUEST_URI_TOO_LONG, "request line too long");
-        }
-        if (cause instanceof TooLongHttpHeaderException) {
-            return new BadRequestException(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
-                    "headers too large");
-        }
-        return new BadRequestException(HttpResponseStatus.BAD_REQUEST, "malformed HTTP");
-    }
-
     /**
      * Discards all further input, as it can't be parsed or exceeds a limit. Sends the given error and closes
      * the connection, unless earlier requests are unanswered: then the last of their responses closes it.
@@ -402,7 +379,7 @@
             return;
         }
         closingAfterResponse = true;
-        write(withConnectionClose(errorResponse(e))).addListener(written -> {
+        write(ErrorResponses.withConnectionClose(ErrorResponses.of(e))).addListener(written -> {
             if (channel instanceof SocketChannel socket) {
                 socket.shutdownOutput();
             }
@@ -492,7 +469,7 @@
         boolean lastRequest = pipelined.isEmpty();
         boolean keepOpen = keepAlive && !closingAfterResponse && clientErrors < MAX_CLIENT_ERRORS
                 && !(lastRequest && (discardingInput || listener.closesAfterResponse()));
-        ChannelFuture writing = write(keepOpen ? response : withConnectionClose(response));
+        ChannelFuture writing = write(keepOpen ? response : ErrorResponses.withConnectionClose(response));
         if (!keepOpen) {
             discardInput();
             closingAfterResponse = true;
@@ -522,11 +499,6 @@
         }
     }
 
-    private static FullHttpResponse withConnectionClose(FullHttpResponse response) {
-        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        return response;
-    }
-
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (!channel.isActive() || cause instanceof IOException) {
