Schedule the next run of DecodeScheduler also after an error

Cause: an Error that leaves a run would leave throttled connections waiting until another one is throttled. By review; no test. ClientMemoryTest passes.

--- a/src/main/java/cedarrelay/node/DecodeScheduler.java
+++ b/src/main/java/cedarrelay/node/DecodeScheduler.java
@@ -62,13 +62,18 @@
     private void run() {
         runScheduled = false;
         long endNs = System.nanoTime() + RUN_NS;
-        while (!inputs.isEmpty() && System.nanoTime() - endNs < 0) {
-            ThrottledInput oldest = inputs.stream()
-                    .min(Comparator.comparingLong(input -> input.throttledSinceNs() - endNs)).orElseThrow();
-            if (!oldest.decodeMore()) {
-                inputs.remove(oldest);
+        try {
+            while (!inputs.isEmpty() && System.nanoTime() - endNs < 0) {
+                ThrottledInput oldest = inputs.stream()
+                        .min(Comparator.comparingLong(input -> input.throttledSinceNs() - endNs))
+                        .orElseThrow();
+                if (!oldest.decodeMore()) {
+                    inputs.remove(oldest);
+                }
             }
+        } finally {
+            // Also after an error, such as an OutOfMemoryError, which may end this run.
+            scheduleRun();
         }
-        scheduleRun();
     }
 }
