Make the second call to a requested discovery after 2.75 s, not 1.5 s

Change: 2.75 s. An answer that takes up to 3 s still makes 5.75 s, and an event loop late by 0.15 s 5.9 s, of the 6 s.

DiscoveryTest and DrainNotificationDeadlineTest pass.

--- a/src/main/java/cedarrelay/node/DiscoveryTimeouts.java
+++ b/src/main/java/cedarrelay/node/DiscoveryTimeouts.java
@@ -29,7 +29,7 @@
      * that it received while it was out of reach, so a second call is made meanwhile. There are at most two
      * calls at a time, and one new call in {@link #secondCallMs} while none is answered.
      */
-    static final DiscoveryTimeouts ON_REQUEST = new DiscoveryTimeouts(3_000, 3_000, IDLE_MS, 1_500, 2_500);
+    static final DiscoveryTimeouts ON_REQUEST = new DiscoveryTimeouts(3_000, 3_000, IDLE_MS, 2_750, 2_500);
 
     /** Whether a second call is made beside one without a response. */
     boolean allowSecondCall() {
